base: error kinds, results, settings, logs, metrics

The closed list of error kinds, the settings loader that reports all faults at once, the bounded log in front of log4cplus, and the metric table. Nothing here knows of services or of the network. Ruled out: exceptions across packages, and log4cplus' own asynchronous appender, which blocks its caller when full.

--- /dev/null
+++ b/src/base/metric_table.cc
@@ -0,0 +1,77 @@
+#include "base/metric_table.h"
+
+namespace cardamomroute {
+namespace {
+
+constexpr metric_row Counter(process_role role, std::string_view name) {
+  return {name, role, metric_kind::kCounter};
+}
+constexpr metric_row Gauge(process_role role, std::string_view name) {
+  return {name, role, metric_kind::kGauge};
+}
+constexpr metric_row Latency(process_role role, std::string_view name) {
+  return {name, role, metric_kind::kLatency};
+}
+
+constexpr process_role kBalancer = process_role::kBalancer;
+constexpr process_role kAgent = process_role::kAgent;
+constexpr process_role kControl = process_role::kControl;
+
+}  // namespace
+
+const std::array<metric_row, kMetricCount> kMetricTable = {{
+    Counter(kBalancer, "packets_in"),
+    Counter(kBalancer, "packets_forwarded"),
+    Counter(kBalancer, "packets_to_home"),
+    Counter(kBalancer, "packets_refused_no_target"),
+    Counter(kBalancer, "packets_refused_stale_view"),
+    Counter(kBalancer, "packets_dropped"),
+    Counter(kBalancer, "headers_malformed"),
+    Counter(kBalancer, "answers_delivered"),
+    Counter(kBalancer, "answers_dropped"),
+    Counter(kBalancer, "batches_to_agents"),
+    Counter(kBalancer, "batches_from_agents"),
+    Counter(kAgent, "packets_in"),
+    Counter(kAgent, "packets_dropped"),
+    Counter(kAgent, "requests_queued"),
+    Counter(kAgent, "requests_started"),
+    Counter(kAgent, "requests_answered"),
+    Counter(kAgent, "requests_not_run"),
+    Counter(kAgent, "requests_unknown"),
+    Counter(kAgent, "requests_refused"),
+    Counter(kAgent, "requests_challenged"),
+    Counter(kAgent, "repeats_answered"),
+    Counter(kAgent, "repeats_attached"),
+    Counter(kAgent, "requests_forwarded"),
+    Counter(kAgent, "requests_retried"),
+    Counter(kAgent, "observations_started"),
+    Counter(kAgent, "observations_ended"),
+    Counter(kAgent, "legs_reopened"),
+    Counter(kAgent, "flows_placed_here"),
+    Counter(kAgent, "flows_placed_elsewhere"),
+    Counter(kAgent, "flows_redirected"),
+    Counter(kAgent, "flows_refused"),
+    Counter(kAgent, "flows_handed_over"),
+    Counter(kAgent, "flows_taken_over"),
+    Counter(kAgent, "flows_superseded"),
+    Counter(kAgent, "flows_closed"),
+    Gauge(kAgent, "slots_in_use"),
+    Gauge(kAgent, "slots"),
+    Gauge(kAgent, "requests_waiting"),
+    Gauge(kAgent, "flows_held"),
+    Gauge(kAgent, "redirects_held"),
+    Latency(kAgent, "time_in_queue"),
+    Latency(kAgent, "time_at_upstream"),
+    Counter(kControl, "entries_committed"),
+    Counter(kControl, "texts_accepted"),
+    Counter(kControl, "texts_refused"),
+    Counter(kControl, "pulls"),
+    Counter(kControl, "pulls_not_leading"),
+    Counter(kControl, "deltas_sent"),
+    Counter(kControl, "full_views_sent"),
+    Counter(kControl, "leaderships"),
+    Counter(kControl, "repairs"),
+    Latency(kControl, "commit_time"),
+}};
+
+}  // namespace cardamomroute
