--- /dev/null
+++ b/src/requests/request_answers.cc
@@ -0,0 +1,48 @@
+#include "requests/request_answers.h"
+
+#include <xxhash.h>
+
+#include <string>
+
+namespace cardamomroute {
+namespace {
+
+coap_message MakeAnswer(uint8_t code, std::string_view payload) {
+  coap_message answer;
+  answer.code = code;
+  answer.payload = std::string(payload);
+  return answer;
+}
+
+}  // namespace
+
+coap_message MakeNotRun(uint32_t max_age) {
+  coap_message answer = MakeAnswer(kServiceUnavailableCode, kNotRunPayload);
+  SetOption(&answer, option_number::kMaxAge, EncodeUint(max_age));
+  return answer;
+}
+
+coap_message MakeUnknown() {
+  return MakeAnswer(kGatewayTimeoutCode, kRunUnknownPayload);
+}
+
+coap_message MakeRefusal(uint8_t code) { return MakeAnswer(code, {}); }
+
+coap_message MakeEmpty(message_type type, uint16_t id) {
+  coap_message message;
+  message.type = type;
+  message.id = id;
+  return message;
+}
+
+uint64_t DigestOf(const coap_message& request) {
+  coap_message common;
+  common.code = request.code;
+  common.options = request.options;
+  common.payload = request.payload;
+  RemoveOption(&common, option_number::kEcho);
+  const std::string bytes = SerializeCoap(common);
+  return XXH64(bytes.data(), bytes.size(), 0);
+}
+
+}  // namespace cardamomroute
--- /dev/null
+++ b/src/requests/request_core_answer.cc
@@ -0,0 +1,237 @@
+#include <utility>
+
+#include "requests/protocol_times.h"
+#include "requests/request_answers.h"
+#include "requests/request_core.h"
+
+namespace cardamomroute {
+namespace {
+
+// Callers are told to return within this many timeouts of their call.
+constexpr int kReturnTimeouts = 2;
+
+}  // namespace
+
+void request_core::Refuse(const caller_request& request, uint8_t code,
+                          decision_reason reason, absl::Time now) {
+  Log(request, decision_kind::kRefused, reason);
+  SendAnswer(request, MakeRefusal(code), now);
+}
+
+coap_message request_core::NotRunAnswer(const caller_request& request,
+                                        absl::Time now) {
+  const absl::Duration backlog =
+      draining_ ? absl::ZeroDuration() : WorkAhead(queue_.All(), now);
+  const absl::Duration run =
+      draining_ ? absl::ZeroDuration()
+                : running_time_.Mean(request.kind) / slots_.Limit();
+  const absl::Duration longest =
+      kReturnTimeouts * absl::Milliseconds(KindOf(request).timeout_ms);
+  return MakeNotRun(returns_.NextMaxAge(now + backlog, run, longest, now));
+}
+
+bool request_core::MayHaveRunElsewhere(const caller_request& request,
+                                       absl::Time now) const {
+  const auto it = flows_.find(request.flow);
+  return request.echo.empty() && it != flows_.end() &&
+         it->second.previous_holders.empty() &&
+         now < target_lost_at_ + kMaxTransmitSpan &&
+         it->second.held_since >= target_lost_at_;
+}
+
+coap_message request_core::GivenUpAnswer(const caller_request& request,
+                                         absl::Time now) {
+  coap_message answer = NotRunAnswer(request, now);
+  if (request.may_have_run || MayHaveRunElsewhere(request, now)) {
+    answer.code = kGatewayTimeoutCode;
+    answer.payload = std::string(kRunUnknownPayload);
+  }
+  return answer;
+}
+
+void request_core::AnswerNotRun(const caller_request& request,
+                                decision_reason reason, absl::Time now) {
+  const coap_message answer = GivenUpAnswer(request, now);
+  Log(request,
+      answer.code == kServiceUnavailableCode ? decision_kind::kNotRun
+                                             : decision_kind::kUnknown,
+      reason);
+  if (!request.echo.empty()) {
+    SettleRun(request.echo, answer, now);
+  }
+  SendAnswer(request, answer, now);
+}
+
+void request_core::GiveUp(uint64_t id, decision_reason reason, absl::Time now) {
+  const caller_request* request = FindRequest(id);
+  if (request == nullptr) {
+    return;
+  }
+  const uint64_t transfer = request->transfer;
+  const uint64_t registers = request->registers;
+  const coap_message answer = GivenUpAnswer(*request, now);
+  Finish(id, answer,
+         answer.code == kServiceUnavailableCode ? decision_kind::kNotRun
+                                                : decision_kind::kUnknown,
+         reason, now);
+  if (transfer != 0) {
+    EndTransfer(transfer, answer, now);
+  }
+  if (registers != 0) {
+    RegistrationFailed(registers, now);
+  }
+}
+
+void request_core::EndUnknown(uint64_t id, decision_reason reason,
+                              absl::Time now) {
+  caller_request* request = FindRequest(id);
+  if (request == nullptr) {
+    return;
+  }
+  const uint64_t transfer = request->transfer;
+  const uint64_t registers = request->registers;
+  upstream_exchange* exchange = exchanges_.Find(request->exchange);
+  if (request->state == request_state::kRunning && exchange != nullptr) {
+    exchange->holds_slot = request->holds_slot;
+    request->holds_slot = false;
+    AbandonExchange(exchange->id, now);
+  }
+  Finish(id, MakeUnknown(), decision_kind::kUnknown, reason, now);
+  if (transfer != 0) {
+    EndTransfer(transfer, MakeUnknown(), now);
+  }
+  if (registers != 0) {
+    RegistrationFailed(registers, now);
+  }
+}
+
+void request_core::Finish(uint64_t id, const coap_message& answer,
+                          decision_kind decision, decision_reason reason,
+                          absl::Time now) {
+  const auto it = requests_.find(id);
+  if (it == requests_.end()) {
+    return;
+  }
+  caller_request request = std::move(it->second);
+  requests_.erase(it);
+  running_.erase(id);
+  queue_.Erase(id);
+  for (const timer_kind kind :
+       {timer_kind::kAcknowledge, timer_kind::kQueueGiveUp,
+        timer_kind::kRunDeadline, timer_kind::kRetry}) {
+    timers_.Cancel({kind, id});
+  }
+  ReleaseSlot(&request.holds_slot);
+  Log(request, decision, reason);
+  if (request.registers != 0) {
+    return;
+  }
+  if (!request.echo.empty()) {
+    SettleRun(request.echo, answer, now);
+  }
+  SendAnswer(request, answer, now);
+  CloseOpen(request.flow);
+}
+
+void request_core::SendAnswer(const caller_request& request,
+                              coap_message answer, absl::Time now) {
+  const auto it = flows_.find(request.flow);
+  if (it == flows_.end()) {
+    return;
+  }
+  flow_state& state = it->second;
+  const bool takes_echo =
+      request.kind < matcher_.size() && !KindOf(request).idempotent;
+  if (takes_echo) {
+    SetOption(&answer, option_number::kEcho, echo_.Issue(request.flow, now));
+  }
+  answer.token = request.message.token;
+  const bool confirmable = request.message.type == message_type::kConfirmable;
+  if (confirmable && !request.acknowledged) {
+    answer.type = message_type::kAcknowledgement;
+    answer.id = request.message.id;
+  } else {
+    answer.type = confirmable ? message_type::kConfirmable
+                              : message_type::kNonConfirmable;
+    answer.id = state.next_message_id++;
+  }
+  std::string datagram = SerializeCoap(answer);
+  state.seen.SetAnswer(request.message.id, datagram, true);
+  if (answer.type == message_type::kConfirmable) {
+    SendConfirmable(request.flow, answer, 0, now);
+  } else {
+    Emit(send_to_caller{request.flow, std::move(datagram)});
+  }
+}
+
+void request_core::SendConfirmable(const flow_key& flow,
+                                   const coap_message& message,
+                                   uint64_t observation, absl::Time now) {
+  confirmable_message entry;
+  entry.flow = flow;
+  entry.message_id = message.id;
+  entry.datagram = SerializeCoap(message);
+  entry.observation = observation;
+  struct observation* value = observations_.Find(observation);
+  if (value != nullptr) {
+    // A newer state replaces the one that is unacknowledged and inherits its
+    // count of transmissions (RFC 7641, section 4.5.2).
+    const auto replaced = confirmables_.Take(value->unconfirmed);
+    if (replaced) {
+      timers_.Cancel({timer_kind::kCallerRetransmit, replaced->id});
+      entry.transmissions = replaced->transmissions;
+    }
+  }
+  const confirmable_message& added = confirmables_.Add(std::move(entry), now);
+  if (value != nullptr) {
+    value->unconfirmed = added.id;
+  }
+  timers_.Set({timer_kind::kCallerRetransmit, added.id}, added.next_at);
+  Emit(send_to_caller{flow, added.datagram});
+}
+
+void request_core::CloseOpen(const flow_key& flow) {
+  const auto it = flows_.find(flow);
+  if (it == flows_.end()) {
+    return;
+  }
+  --it->second.open;
+  AnnounceIfIdle(flow, &it->second);
+}
+
+void request_core::AnnounceIfIdle(const flow_key& flow, flow_state* state) {
+  const bool held = state->held_since < absl::InfiniteFuture();
+  if (draining_ && held && state->open == 0 && !state->idle_announced &&
+      !open_runs_.contains(state->hash)) {
+    state->idle_announced = true;
+    Emit(flow_idle{flow});
+  }
+}
+
+void request_core::OnAcknowledgeDue(uint64_t id, absl::Time /*now*/) {
+  caller_request* request = FindRequest(id);
+  if (request == nullptr || request->acknowledged ||
+      request->message.type != message_type::kConfirmable) {
+    return;
+  }
+  request->acknowledged = true;
+  std::string datagram = SerializeCoap(
+      MakeEmpty(message_type::kAcknowledgement, request->message.id));
+  flows_[request->flow].seen.SetAnswer(request->message.id, datagram, false);
+  Emit(send_to_caller{request->flow, std::move(datagram)});
+}
+
+void request_core::OnCallerRetransmit(uint64_t id, absl::Time now) {
+  const confirmable_message* message = confirmables_.OnDue(id, now);
+  if (message != nullptr) {
+    timers_.Set({timer_kind::kCallerRetransmit, id}, message->next_at);
+    Emit(send_to_caller{message->flow, message->datagram});
+    return;
+  }
+  const auto unanswered = confirmables_.Take(id);
+  if (unanswered && unanswered->observation != 0) {
+    EndObservation(unanswered->observation, decision_reason::kCallerGone);
+  }
+}
+
+}  // namespace cardamomroute
--- /dev/null
+++ b/src/requests/request_core_echo.cc
@@ -0,0 +1,171 @@
+#include <limits>
+#include <utility>
+#include <vector>
+
+#include "requests/protocol_times.h"
+#include "requests/request_answers.h"
+#include "requests/request_core.h"
+
+namespace cardamomroute {
+
+bool request_core::PassEcho(caller_request* request, std::string_view datagram,
+                            absl::Time now) {
+  const std::string echo = OptionValue(request->message, option_number::kEcho);
+  if (echo.empty()) {
+    Challenge(*request, decision_reason::kEchoAbsent, now);
+    return false;
+  }
+  const uint64_t digest = DigestOf(request->message);
+  run_record* record = runs_.Find(echo);
+  if (record != nullptr && record->digest == digest) {
+    HandleRepeat(*request, record, now);
+    return false;
+  }
+  if (record != nullptr) {
+    Challenge(*request, decision_reason::kEchoReused, now);
+    return false;
+  }
+  const echo_reading reading = echo_.Read(echo, now);
+  switch (reading.verdict) {
+    case echo_verdict::kFresh:
+      if (exported_.contains(reading.issued_to)) {
+        // The successor may have run it, or may run it yet.
+        AnswerUnknown(*request, decision_reason::kOtherIncarnation, now);
+        return false;
+      }
+      request->echo = echo;
+      return PassFresh(request, reading, digest, now);
+    case echo_verdict::kForeign:
+      return PassForeign(request, reading, datagram, now);
+    case echo_verdict::kStale:
+      Challenge(*request, decision_reason::kEchoStale, now);
+      return false;
+    case echo_verdict::kForged:
+      Challenge(*request, decision_reason::kEchoForged, now);
+      return false;
+  }
+  return false;
+}
+
+bool request_core::PassFresh(caller_request* request,
+                             const echo_reading& reading, uint64_t digest,
+                             absl::Time now) {
+  if (runs_.IsFull()) {
+    // The refusal cannot be recorded. A late copy of the request must not run
+    // after its caller was told that it did not, so its Echo value is void.
+    echo_.WithdrawAll();
+    request->echo.clear();
+    AnswerNotRun(*request, decision_reason::kDedupTableFull, now);
+    return false;
+  }
+  run_record record;
+  record.echo = request->echo;
+  record.issued_to = reading.issued_to;
+  record.flow = request->flow;
+  record.digest = digest;
+  record.expires_at = now + kExchangeLifetime;
+  OpenRun(*runs_.Add(std::move(record)));
+  return true;
+}
+
+void request_core::OpenRun(const run_record& record) {
+  ++open_runs_[record.issued_to];
+}
+
+bool request_core::PassForeign(caller_request* request,
+                               const echo_reading& reading,
+                               std::string_view datagram, absl::Time now) {
+  const auto issuer = imported_.find({reading.incarnation, reading.issued_to});
+  if (issuer != imported_.end()) {
+    return PassInherited(request, &issuer->second.issuer, now);
+  }
+  if (live_targets_.contains(reading.incarnation)) {
+    flows_[request->flow].seen.Forget(request->message.id);
+    Log(*request, decision_kind::kForwarded,
+        decision_reason::kOtherIncarnation);
+    Emit(forward_to_holder{request->flow, reading.incarnation,
+                           std::string(datagram)});
+    return false;
+  }
+  AnswerUnknown(*request, decision_reason::kLostIncarnation, now);
+  return false;
+}
+
+bool request_core::PassInherited(caller_request* request,
+                                 echo_credential* issuer, absl::Time now) {
+  // Every run under an Echo value of this flow came along with it, and its
+  // issuer takes no more work: what is not among the runs was never run.
+  const std::string echo = OptionValue(request->message, option_number::kEcho);
+  const echo_reading reading = echo_guard::ReadForeign(echo, *issuer, now);
+  if (reading.verdict != echo_verdict::kFresh) {
+    Challenge(*request, decision_reason::kEchoStale, now);
+    return false;
+  }
+  if (runs_.IsFull()) {
+    // As in PassFresh, values whose refusal is not recorded become void.
+    issuer->first_valid_serial = std::numeric_limits<uint64_t>::max();
+  }
+  request->echo = echo;
+  return PassFresh(request, reading, DigestOf(request->message), now);
+}
+
+void request_core::HandleRepeat(caller_request request, run_record* record,
+                                absl::Time now) {
+  runs_.Prolong(record, now + kExchangeLifetime);
+  if (record->answered) {
+    Log(request, decision_kind::kRepeatAnswered);
+    SendAnswer(request, record->answer, now);
+    return;
+  }
+  Log(request, decision_kind::kRepeatAttached);
+  record->waiting.push_back(request.id);
+  request.state = request_state::kAttached;
+  const caller_request* added = AddRequest(std::move(request));
+  OnAcknowledgeDue(added->id, now);
+}
+
+void request_core::SettleRun(const std::string& echo,
+                             const coap_message& answer, absl::Time now) {
+  run_record* record = runs_.Find(echo);
+  if (record == nullptr) {
+    return;
+  }
+  record->answer = answer;
+  RemoveOption(&record->answer, option_number::kEcho);
+  runs_.Prolong(record, now + kExchangeLifetime);
+  if (record->answered) {
+    return;
+  }
+  record->answered = true;
+  const auto open = open_runs_.find(record->issued_to);
+  if (--open->second == 0) {
+    open_runs_.erase(open);
+  }
+  std::vector<uint64_t> waiting;
+  waiting.swap(record->waiting);
+  for (const uint64_t id : waiting) {
+    Finish(id, answer, decision_kind::kRepeatAnswered, decision_reason::kNone,
+           now);
+  }
+  if (draining_) {
+    for (auto& [flow, state] : flows_) {
+      if (state.hash == record->issued_to) {
+        AnnounceIfIdle(flow, &state);
+      }
+    }
+  }
+}
+
+void request_core::AnswerUnknown(const caller_request& request,
+                                 decision_reason reason, absl::Time now) {
+  Log(request, decision_kind::kUnknown, reason);
+  SendAnswer(request, MakeUnknown(), now);
+}
+
+void request_core::Challenge(const caller_request& request,
+                             decision_reason reason, absl::Time now) {
+  Log(request, decision_kind::kChallenged, reason);
+  SendAnswer(request, MakeRefusal(kUnauthorizedCode), now);
+}
+
+}  // namespace cardamomroute
--- /dev/null
+++ b/src/requests/running_time.cc
@@ -0,0 +1,37 @@
+#include "requests/running_time.h"
+
+namespace cardamomroute {
+namespace {
+
+// Gains of RFC 6298, section 2.3: 1/8 for the mean, 1/4 for the deviation.
+constexpr int kMeanDivisor = 8;
+constexpr int kDeviationDivisor = 4;
+
+}  // namespace
+
+void running_time::Grow(size_t kinds) {
+  if (kinds > samples_.size()) {
+    samples_.resize(kinds);
+  }
+}
+
+void running_time::Add(size_t kind, absl::Duration measured) {
+  sample& entry = samples_[kind];
+  if (!entry.known) {
+    entry = {true, measured, measured / 2};
+    return;
+  }
+  const absl::Duration off = absl::AbsDuration(measured - entry.mean);
+  entry.deviation += (off - entry.deviation) / kDeviationDivisor;
+  entry.mean += (measured - entry.mean) / kMeanDivisor;
+}
+
+absl::Duration running_time::Mean(size_t kind) const {
+  return samples_[kind].mean;
+}
+
+absl::Duration running_time::Likely(size_t kind) const {
+  return samples_[kind].mean + samples_[kind].deviation;
+}
+
+}  // namespace cardamomroute
