--- /dev/null
+++ b/src/control/control_state.cc
@@ -0,0 +1,251 @@
+#include "control/control_state.h"
+
+#include <google/protobuf/arena.h>
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+#include <vector>
+
+#include "absl/container/flat_hash_set.h"
+#include "base/concat.h"
+#include "view/view_codec.h"
+
+namespace cardamomroute::control {
+namespace {
+
+namespace outcome = boost::outcome_v2;
+
+// Nodes refuse a view with values that they do not know.
+result<void> CheckEnumerators(const inner::service_definition& wanted) {
+  bool known = wanted.protocol() <=
+               uint32_t{static_cast<uint8_t>(service_protocol::kCoap)};
+  for (const inner::call_record& call : wanted.calls()) {
+    known &=
+        call.urgency() <= uint32_t{static_cast<uint8_t>(call_class::kOrdinary)};
+  }
+  if (!known) {
+    return error{error_kind::kValueOutOfRange, wanted.name(),
+                 "protocol or class that this release does not know"};
+  }
+  return outcome::success();
+}
+
+}  // namespace
+
+apply_outcome control_state::Apply(uint64_t index,
+                                   std::string_view command_bytes) {
+  google::protobuf::Arena arena;
+  auto& command =
+      *google::protobuf::Arena::CreateMessage<inner::command>(&arena);
+  apply_outcome applied;
+  if (!command.ParseFromArray(command_bytes.data(),
+                              static_cast<int>(command_bytes.size()))) {
+    return applied;
+  }
+  latest_time_ =
+      std::max(latest_time_, absl::FromUnixMillis(command.time_ms()));
+  quarantine_.Expire(latest_time_);
+  if (command.has_submit()) {
+    applied.submission = Submit(index, command.submit());
+  } else if (command.has_registry()) {
+    nodes_.Apply(command.registry(), &view_);
+    if (view_.IsEdited()) {
+      view_.Commit(index);
+    }
+  }
+  applied.view_changed = View().version == index;
+  return applied;
+}
+
+submission_outcome control_state::Submit(uint64_t index,
+                                         const inner::submit_text& submission) {
+  const auto earlier = submissions_.Recall(submission);
+  if (!earlier) {
+    return {earlier.error(), text_.version, text_.digest};
+  }
+  if (earlier.value() != nullptr) {
+    return *earlier.value();
+  }
+  const result<void> admitted = Admit(submission);
+  submission_outcome answer;
+  if (admitted) {
+    PutInForce(index, submission);
+  } else {
+    answer.refusal = admitted.error();
+  }
+  answer.version = text_.version;
+  answer.digest = text_.digest;
+  submissions_.Remember(submission, answer);
+  return answer;
+}
+
+// A submission that is based on a version of the former group may have been
+// accepted by it, in an entry that is lost.
+error control_state::Conflict(const inner::submit_text& submission) const {
+  std::string in_force = Concat("in force is version ", text_.version,
+                                " with digest ", text_.digest);
+  if (submission.base_version() < group_begin_) {
+    return {error_kind::kOutcomeLost, submission.submission_id(),
+            std::move(in_force)};
+  }
+  return {error_kind::kVersionConflict, "", std::move(in_force)};
+}
+
+result<void> control_state::BeginGroup(uint64_t index) {
+  if (next_service_ >
+      std::numeric_limits<service_id>::max() - kServiceIdsSkipped) {
+    return error{error_kind::kValueOutOfRange, "group",
+                 "this group was recovered too often"};
+  }
+  group_begin_ = index;
+  text_.version = text_.digest.empty() ? 0 : index;
+  next_service_ += kServiceIdsSkipped;
+  nodes_.SkipIds(kNodeIdsSkipped);
+  submissions_.ForgetRefusals();
+  view_.BeginAnew(index);
+  return outcome::success();
+}
+
+result<void> control_state::Admit(const inner::submit_text& submission) const {
+  if (submission.base_version() != text_.version ||
+      submission.base_digest() != text_.digest) {
+    return Conflict(submission);
+  }
+  for (const inner::service_definition& wanted : submission.services()) {
+    BOOST_OUTCOME_TRYV(CheckEnumerators(wanted));
+    BOOST_OUTCOME_TRYV(CheckAddress(wanted));
+  }
+  return outcome::success();
+}
+
+result<void> control_state::CheckAddress(
+    const inner::service_definition& wanted) const {
+  const auto address = ParseEndpoint(wanted.address());
+  if (!address) {
+    return address.error();
+  }
+  const service* holder = view_.FindServiceAt(address.value());
+  if (holder != nullptr && holder->name != wanted.name()) {
+    return error{error_kind::kAddressQuarantined, wanted.address(),
+                 Concat("still in use by service ", holder->name,
+                        "; take it from there in one text, and give it to ",
+                        wanted.name(), " in a later one")};
+  }
+  const std::string* former =
+      quarantine_.HolderOf(address.value(), latest_time_);
+  if (former != nullptr && *former != wanted.name()) {
+    const absl::Duration left =
+        quarantine_.DeadlineOf(address.value()) - latest_time_;
+    return error{error_kind::kAddressQuarantined, wanted.address(),
+                 Concat("was in use by service ", *former, "; free in ",
+                        absl::ToInt64Milliseconds(left), " ms")};
+  }
+  return outcome::success();
+}
+
+void control_state::PutInForce(uint64_t index,
+                               const inner::submit_text& submission) {
+  RemoveServicesNotIn(submission);
+  PutServices(submission);
+  view_.Commit(index);
+  text_ = {index, submission.text(), submission.digest()};
+}
+
+void control_state::RemoveServicesNotIn(const inner::submit_text& submission) {
+  absl::flat_hash_set<std::string_view> wanted;
+  for (const inner::service_definition& definition : submission.services()) {
+    wanted.insert(definition.name());
+  }
+  std::vector<service_id> gone;
+  for (const service& item : View().services) {
+    if (!wanted.contains(item.name)) {
+      ReleaseAddress(item);
+      gone.push_back(item.id);
+    }
+  }
+  nodes_.RemoveTargetsOf(gone, &view_);
+  view_.RemoveServices(gone);
+}
+
+void control_state::ReleaseAddress(const service& former) {
+  quarantine_.Release(former.address, former.name, latest_time_);
+}
+
+// Ids first, as services may depend on ones that come later.
+void control_state::PutServices(const inner::submit_text& submission) {
+  service_ids ids;
+  for (const inner::service_definition& definition : submission.services()) {
+    const service* present = view_.FindServiceNamed(definition.name());
+    ids[definition.name()] = present != nullptr ? present->id : next_service_++;
+  }
+  for (const inner::service_definition& definition : submission.services()) {
+    service item = ReadService(ids.at(definition.name()), definition, ids);
+    const service* present = View().FindService(item.id);
+    if (present != nullptr && present->address != item.address) {
+      ReleaseAddress(*present);
+    }
+    view_.PutService(std::move(item));
+  }
+}
+
+service control_state::ReadService(service_id id,
+                                   const inner::service_definition& definition,
+                                   const service_ids& ids) const {
+  const service* present = View().FindService(id);
+  service item;
+  item.id = id;
+  item.name = definition.name();
+  item.address = ParseEndpoint(definition.address()).value();
+  item.protocol = static_cast<service_protocol>(definition.protocol());
+  for (const inner::call_record& record : definition.calls()) {
+    // Admit has checked the enumerators.
+    item.calls.push_back(DecodeCall(record).value());
+  }
+  for (const std::string& name : definition.depends_on()) {
+    const auto found = ids.find(name);
+    if (found != ids.end()) {
+      item.depends_on.push_back(found->second);
+    }
+  }
+  std::sort(item.depends_on.begin(), item.depends_on.end());
+  if (present != nullptr) {
+    item.epoch = present->epoch;
+    item.previous_epoch = present->previous_epoch;
+  }
+  return item;
+}
+
+std::string control_state::Snapshot() const {
+  inner::state_snapshot snapshot;
+  snapshot.set_text_version(text_.version);
+  snapshot.set_text(text_.text);
+  snapshot.set_digest(text_.digest);
+  snapshot.set_time_ms(absl::ToUnixMillis(latest_time_));
+  snapshot.set_next_service(next_service_);
+  snapshot.set_group_begin(group_begin_);
+  *snapshot.mutable_view() = view_.Whole();
+  nodes_.Save(&snapshot);
+  submissions_.Save(&snapshot);
+  quarantine_.Save(&snapshot);
+  return snapshot.SerializeAsString();
+}
+
+result<void> control_state::Restore(std::string_view bytes) {
+  inner::state_snapshot snapshot;
+  if (!snapshot.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return error{error_kind::kMalformedMessage, "snapshot",
+                 "cannot be read as a state_snapshot"};
+  }
+  BOOST_OUTCOME_TRYV(view_.Restore(snapshot.view()));
+  text_ = {snapshot.text_version(), snapshot.text(), snapshot.digest()};
+  latest_time_ = absl::FromUnixMillis(snapshot.time_ms());
+  next_service_ = std::max<service_id>(snapshot.next_service(), 1);
+  group_begin_ = snapshot.group_begin();
+  nodes_.Restore(snapshot, View());
+  submissions_.Restore(snapshot);
+  quarantine_.Restore(snapshot);
+  return outcome::success();
+}
+
+}  // namespace cardamomroute::control
--- /dev/null
+++ b/src/control/file_system_lock.h
@@ -0,0 +1,14 @@
+#ifndef CARDAMOMROUTE_CONTROL_FILE_SYSTEM_LOCK_H_
+#define CARDAMOMROUTE_CONTROL_FILE_SYSTEM_LOCK_H_
+
+namespace cardamomroute::control {
+
+/// Holds a lock against other processes until destroyed.
+class file_lock {
+ public:
+  virtual ~file_lock() = default;
+};
+
+}  // namespace cardamomroute::control
+
+#endif  // CARDAMOMROUTE_CONTROL_FILE_SYSTEM_LOCK_H_
--- /dev/null
+++ b/src/control/log_store_recovery.cc
@@ -0,0 +1,177 @@
+// log_store: what opening a folder reads and mends.
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "control/log_store.h"
+#include "control/log_store_damage.h"
+#include "control/log_store_names.h"
+#include "control/log_store_record.h"
+#include "control/log_store_replay.h"
+
+namespace cardamomroute::control {
+namespace {
+
+namespace outcome = boost::outcome_v2;
+
+}  // namespace
+
+result<void> log_store::Start(member_id fresh_member) {
+  BOOST_OUTCOME_TRYV(files_->CreateFolder(folder_));
+  BOOST_OUTCOME_TRY(lock, files_->Lock(PathOf(kLockName)));
+  lock_ = std::move(lock);
+  BOOST_OUTCOME_TRY(present, files_->List(folder_));
+  BOOST_OUTCOME_TRYV(RemoveUnfinished(present));
+  if (Holds(present, kAbandonedName)) {
+    BOOST_OUTCOME_TRYV(EndAbandoning());
+    BOOST_OUTCOME_TRY(left, files_->List(folder_));
+    present = left;
+  }
+  if (!Holds(present, kIdentityName)) {
+    BOOST_OUTCOME_TRYV(SetUp(fresh_member, present));
+  }
+  BOOST_OUTCOME_TRY(names, files_->List(folder_));
+  BOOST_OUTCOME_TRYV(ReadIdentity());
+  BOOST_OUTCOME_TRYV(Recover(names));
+  BOOST_OUTCOME_TRYV(RemoveLeftovers());
+  return CountStart();
+}
+
+// The identity is written last, so a crash on the way leaves a folder that is
+// set up anew. Anything that holds state without an identity is refused.
+result<void> log_store::SetUp(member_id fresh_member,
+                              const std::vector<std::string>& names) {
+  const uint64_t last_log = HighestSequence(names, kLogPrefix);
+  bool holds_state =
+      last_log > 1 || HighestSequence(names, kSnapshotPrefix) > 0;
+  if (last_log == 1) {
+    BOOST_OUTCOME_TRY(content, files_->Read(PathOf(NameOf(kLogPrefix, 1))));
+    const record_scan scan = ScanRecords(content);
+    holds_state |= scan.damaged_at.has_value() ||
+                   std::any_of(scan.records.begin(), scan.records.end(),
+                               [](const auto& item) { return IsChange(item); });
+  }
+  if (holds_state) {
+    return Corrupt(PathOf(kIdentityName), 0, store_damage::kIdentityMissing);
+  }
+  std::string empty_log;
+  AppendRecord({record_kind::kBase, 0, 0, ""}, 0, &empty_log);
+  BOOST_OUTCOME_TRYV(WriteWhole(NameOf(kLogPrefix, 1), empty_log));
+  return WriteWhole(kIdentityName, IdentityText(kFormatVersion, fresh_member));
+}
+
+result<void> log_store::ReadIdentity() {
+  const std::string path = PathOf(kIdentityName);
+  BOOST_OUTCOME_TRY(text, files_->Read(path));
+  const std::vector<std::string> words =
+      absl::StrSplit(text, absl::ByAnyChar(" \n"));
+  uint32_t version = 0;
+  member_id member = 0;
+  if (words.size() < 8 || !absl::SimpleAtoi(words[4], &version) ||
+      !absl::SimpleHexAtoi(words[6], &member) ||
+      text != IdentityText(version, member)) {
+    return Corrupt(path, 0, store_damage::kIdentityDamaged);
+  }
+  if (version != kFormatVersion) {
+    return error{
+        error_kind::kDataFormat, path,
+        absl::StrCat("format ", version, " was written by another ",
+                     "release; this one reads format ", kFormatVersion)};
+  }
+  recovered_.member = member;
+  return outcome::success();
+}
+
+result<void> log_store::Recover(const std::vector<std::string>& names) {
+  BOOST_OUTCOME_TRYV(ReadSnapshot(names));
+  return ReadLog(names);
+}
+
+result<void> log_store::ReadSnapshot(const std::vector<std::string>& names) {
+  const uint64_t sequence = HighestSequence(names, kSnapshotPrefix);
+  if (sequence == 0) {
+    return outcome::success();
+  }
+  const std::string path = PathOf(NameOf(kSnapshotPrefix, sequence));
+  BOOST_OUTCOME_TRY(content, files_->Read(path));
+  record_scan scan = ScanRecords(content);
+  if (scan.whole_bytes != content.size() || scan.records.size() != 1 ||
+      scan.records.front().kind != record_kind::kSnapshot) {
+    return Corrupt(path, scan.whole_bytes, store_damage::kSnapshotDamaged);
+  }
+  log_record& record = scan.records.front();
+  recovered_.snapshot = {record.index, record.term, std::move(record.bytes)};
+  return outcome::success();
+}
+
+result<void> log_store::ReadLog(const std::vector<std::string>& names) {
+  sequence_ = HighestSequence(names, kLogPrefix);
+  log_name_ = NameOf(kLogPrefix, sequence_);
+  const std::string path = PathOf(log_name_);
+  if (sequence_ == 0) {
+    return Corrupt(PathOf(NameOf(kLogPrefix, 1)), 0, store_damage::kLogMissing);
+  }
+  BOOST_OUTCOME_TRY(content, files_->Read(path));
+  const record_scan scan = ScanRecords(content);
+  BOOST_OUTCOME_TRY(log, ReplayLog(path, scan));
+  const stored_snapshot from = recovered_.snapshot.value_or(stored_snapshot{});
+  const bool follows_snapshot = log.base_index == from.index;
+  if (!log.StartAfter(from.index, from.term)) {
+    return Corrupt(path, 0, store_damage::kFormerSnapshotMissing);
+  }
+  recovered_.cut_bytes = content.size() - scan.whole_bytes;
+  recovered_.entries = std::move(log.entries);
+  hard_ = recovered_.hard = log.hard;
+  starts_ = log.starts;
+  log_bytes_ = scan.whole_bytes;
+  if (recovered_.cut_bytes > 0) {
+    BOOST_OUTCOME_TRYV(files_->Truncate(path, log_bytes_));
+  }
+  BOOST_OUTCOME_TRY(opened, files_->OpenForAppend(path));
+  log_ = std::move(opened);
+  // What a former process wrote may still be in the page cache only.
+  BOOST_OUTCOME_TRYV(log_->Sync());
+  // Power was lost between writing the snapshot and replacing the log.
+  return follows_snapshot ? outcome::success()
+                          : ReplaceLog(from, recovered_.entries);
+}
+
+// A later write under the same name would append to what is left of these.
+result<void> log_store::RemoveUnfinished(
+    const std::vector<std::string>& names) {
+  for (const std::string& name : names) {
+    if (absl::EndsWith(name, kUnfinishedSuffix)) {
+      BOOST_OUTCOME_TRYV(files_->Remove(PathOf(name)));
+    }
+  }
+  return outcome::success();
+}
+
+result<void> log_store::CountStart() {
+  std::string bytes;
+  AppendRecord(StartRecord(starts_ + 1), log_bytes_, &bytes);
+  BOOST_OUTCOME_TRYV(AppendSynced(bytes));
+  ++starts_;
+  recovered_.starts = starts_;
+  return outcome::success();
+}
+
+result<void> log_store::EndAbandoning() {
+  BOOST_OUTCOME_TRY(names, files_->List(folder_));
+  for (const std::string& name : names) {
+    if (name == kIdentityName || absl::StartsWith(name, kLogPrefix) ||
+        absl::StartsWith(name, kSnapshotPrefix)) {
+      BOOST_OUTCOME_TRYV(
+          files_->Rename(PathOf(name), PathOf(kFormerPrefix + name)));
+    }
+  }
+  BOOST_OUTCOME_TRYV(files_->SyncFolder(folder_));
+  BOOST_OUTCOME_TRYV(files_->Remove(PathOf(kAbandonedName)));
+  return files_->SyncFolder(folder_);
+}
+
+}  // namespace cardamomroute::control
--- /dev/null
+++ b/src/control/raft_core_alone_test.cc
@@ -0,0 +1,222 @@
+// One core, driven by hand.
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <cstdint>
+#include <utility>
+#include <vector>
+
+#include "control/raft_core.h"
+
+namespace cardamomroute::control {
+namespace {
+
+/// A core of member 1 of five voters, driven by hand.
+class lone_core {
+ public:
+  explicit lone_core(recovered_state state)
+      : core_(raft_options{1}, std::move(state), 1, now_) {}
+
+  static recovered_state FiveVoters() {
+    inner::membership_record founders;
+    for (member_id id = 1; id <= 5; ++id) {
+      inner::member_record* member = founders.add_members();
+      member->set_id(id);
+      member->set_role(inner::VOTER);
+    }
+    return FoundingState(founders);
+  }
+
+  inner::raft_message From(member_id from) const {
+    inner::raft_message message;
+    message.set_from(from);
+    message.set_to(1);
+    message.set_term(core_.Term());
+    return message;
+  }
+
+  void Step(const inner::raft_message& message) {
+    core_.Step(message, now_);
+    Sync();
+  }
+
+  void Accept(member_id from, uint64_t match) {
+    inner::raft_message message = From(from);
+    message.mutable_append_answer()->set_sent_at_us(absl::ToUnixMicros(now_));
+    message.mutable_append_answer()->set_accepted(true);
+    message.mutable_append_answer()->set_match_index(match);
+    Step(message);
+  }
+
+  void Sync() {
+    while (core_.HasReady()) {
+      const raft_ready ready = core_.TakeReady();
+      sent_.insert(sent_.end(), ready.messages_now.begin(),
+                   ready.messages_now.end());
+      core_.Persisted(ready.sequence, now_);
+    }
+  }
+
+  /// Member 2 has started again and has the entries up to `match`.
+  void AcceptFromSecondRun(uint64_t match) {
+    inner::raft_message message = From(2);
+    message.set_run(kSecondRun);
+    message.set_unverified(true);
+    message.mutable_append_answer()->set_accepted(true);
+    message.mutable_append_answer()->set_match_index(match);
+    Step(message);
+  }
+
+  /// True if the next heartbeat tells member 2 that it is verified.
+  bool Verifies() {
+    sent_.clear();
+    now_ += kHeartbeatInterval;
+    core_.Tick(now_);
+    Sync();
+    return std::any_of(sent_.begin(), sent_.end(), [](const auto& message) {
+      return message.append().verified_run() == kSecondRun;
+    });
+  }
+
+  void BecomeLeader() {
+    now_ += 2 * kElectionTimeout;
+    core_.Tick(now_);
+    Sync();
+    for (const member_id voter : {2, 3}) {
+      inner::raft_message message = From(voter);
+      message.set_term(core_.Term() + 1);
+      message.mutable_pre_vote_answer()->set_granted(true);
+      Step(message);
+    }
+    for (const member_id voter : {2, 3}) {
+      inner::raft_message message = From(voter);
+      message.mutable_vote_answer()->set_granted(true);
+      Step(message);
+    }
+  }
+
+  raft_core& Core() { return core_; }
+  absl::Time Now() const { return now_; }
+
+  static constexpr uint64_t kSecondRun = uint64_t{2} << 32;
+
+ private:
+  absl::Time now_ = absl::FromUnixSeconds(1000);
+  raft_core core_;
+  std::vector<inner::raft_message> sent_;
+};
+
+inner::raft_entry Entry(uint64_t index, uint64_t term) {
+  inner::raft_entry entry;
+  entry.set_index(index);
+  entry.set_term(term);
+  entry.set_command("command");
+  return entry;
+}
+
+/// Figure 8 of the Raft paper: an entry of an earlier term that a majority
+/// has may still be replaced.
+BOOST_AUTO_TEST_CASE(EntriesOfEarlierTermsAreCommittedWithOneOfTheOwnTerm) {
+  recovered_state state = lone_core::FiveVoters();
+  state.entries.push_back(Entry(2, 1));
+  lone_core lone(std::move(state));
+  lone.BecomeLeader();
+  BOOST_REQUIRE((lone.Core().Role() == raft_role::kLeader));
+  lone.Accept(2, 2);
+  lone.Accept(3, 2);
+  BOOST_TEST(lone.Core().CommitIndex() == 1U);
+  lone.Accept(2, 3);
+  lone.Accept(3, 3);
+  BOOST_TEST(lone.Core().CommitIndex() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(WhatAnEarlierRunAcknowledgedDoesNotCount) {
+  lone_core lone(lone_core::FiveVoters());
+  lone.BecomeLeader();
+  lone.Accept(2, 2);
+  lone.AcceptFromSecondRun(1);
+  lone.Accept(3, 2);
+  BOOST_TEST(lone.Core().CommitIndex() == 1U);
+  lone.Accept(4, 2);
+  BOOST_TEST(lone.Core().CommitIndex() == 2U);
+  BOOST_TEST(!lone.Verifies());
+  lone.Accept(3, 2);
+  lone.Accept(4, 2);
+  lone.AcceptFromSecondRun(1);
+  BOOST_TEST(!lone.Verifies());
+  lone.AcceptFromSecondRun(2);
+  BOOST_TEST(lone.Verifies());
+}
+
+/// Otherwise a leader that the others have left could verify it.
+BOOST_AUTO_TEST_CASE(AVoterIsVerifiedByAQuorumOfTheOthers) {
+  lone_core lone(lone_core::FiveVoters());
+  lone.BecomeLeader();
+  lone.Accept(3, 2);
+  lone.Accept(4, 2);
+  lone.AcceptFromSecondRun(2);
+  BOOST_TEST(!lone.Verifies());
+  lone.AcceptFromSecondRun(2);
+  BOOST_TEST(!lone.Verifies());
+  lone.Accept(3, 2);
+  lone.Accept(4, 2);
+  lone.AcceptFromSecondRun(2);
+  BOOST_TEST(lone.Verifies());
+}
+
+BOOST_AUTO_TEST_CASE(MembershipChangesOneAtATimeAndInTheOwnTerm) {
+  lone_core lone(lone_core::FiveVoters());
+  lone.BecomeLeader();
+  membership_change change;
+  change.kind = membership_change_kind::kDemote;
+  change.member.set_id(5);
+  const auto propose = [&] {
+    return lone.Core().ProposeMembership(change, lone.Now());
+  };
+  BOOST_TEST((propose().error().kind == error_kind::kBusy));
+  lone.Accept(2, 2);
+  lone.Accept(3, 2);
+  BOOST_TEST(propose().has_value());
+  change.member.set_id(4);
+  BOOST_TEST((propose().error().kind == error_kind::kBusy));
+  lone.Sync();
+  lone.Accept(2, 3);
+  lone.Accept(3, 3);
+  BOOST_TEST(propose().has_value());
+  BOOST_TEST(lone.Core().Membership().VoterCount() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(TheOwnVoteCountsOnceItIsSynced) {
+  inner::membership_record founder;
+  founder.add_members()->set_id(1);
+  founder.mutable_members(0)->set_role(inner::VOTER);
+  const absl::Time start = absl::FromUnixSeconds(1000);
+  raft_core core(raft_options{1}, FoundingState(founder), 1, start);
+  const absl::Time now = start + 2 * kElectionTimeout;
+  core.Tick(now);
+  const raft_ready ready = core.TakeReady();
+  BOOST_REQUIRE(ready.hard_state.has_value());
+  BOOST_TEST(ready.hard_state->voted_for() == 1U);
+  BOOST_TEST((core.Role() == raft_role::kCandidate));
+  core.Persisted(ready.sequence, now);
+  BOOST_TEST((core.Role() == raft_role::kLeader));
+}
+
+BOOST_AUTO_TEST_CASE(ASnapshotReplacesNoAcknowledgedEntry) {
+  lone_core lone(lone_core::FiveVoters());
+  inner::raft_message append = lone.From(2);
+  append.mutable_append()->set_prev_index(1);
+  append.mutable_append()->set_prev_term(1);
+  *append.mutable_append()->add_entries() = Entry(2, 1);
+  *append.mutable_append()->add_entries() = Entry(3, 1);
+  lone.Step(append);
+  inner::raft_message snapshot = lone.From(2);
+  snapshot.mutable_snapshot_piece()->set_index(2);
+  snapshot.mutable_snapshot_piece()->set_snapshot_term(1);
+  snapshot.mutable_snapshot_piece()->set_digest(SnapshotDigest(""));
+  lone.Step(snapshot);
+  BOOST_TEST(lone.Core().CommitIndex() == 2U);
+  BOOST_TEST(lone.Core().LastIndex() == 3U);
+}
+
+}  // namespace
+}  // namespace cardamomroute::control
--- /dev/null
+++ b/src/control/raft_core_follower.cc
@@ -0,0 +1,130 @@
+#include <algorithm>
+#include <utility>
+
+#include "control/raft_core.h"
+
+namespace cardamomroute::control {
+
+/// Follows the sender, which leads the present term; renews the promise to
+/// grant no vote. False if this member leads that term itself.
+bool raft_core::HearLeader(const inner::raft_message& message) {
+  if (role_ == raft_role::kLeader) {
+    return false;
+  }
+  if (role_ != raft_role::kFollower || leader_ != message.from()) {
+    BecomeFollower(Term(), message.from());
+  }
+  timer_.HeardFromLeader(now_);
+  return true;
+}
+
+void raft_core::OnAppend(const inner::raft_message& message) {
+  if (!HearLeader(message)) {
+    return;
+  }
+  const inner::raft_append& append = message.append();
+  TakeVerdict(append);
+  const bool before_base = append.prev_index() < log_.BaseIndex();
+  if (!before_base && !log_.Matches(append.prev_index(), append.prev_term())) {
+    RefuseAppend(message);
+    return;
+  }
+  if (!TakeEntries(append)) {
+    return;
+  }
+  const uint64_t match =
+      append.prev_index() + static_cast<uint64_t>(append.entries_size());
+  const uint64_t commit =
+      std::min({append.commit_index(), match, log_.LastIndex()});
+  if (commit > commit_index_) {
+    SetCommitIndex(commit);
+  }
+  inner::raft_message answer = MessageTo(message.from());
+  inner::raft_append_answer* body = answer.mutable_append_answer();
+  body->set_accepted(true);
+  body->set_prev_index(append.prev_index());
+  body->set_match_index(match);
+  body->set_sent_at_us(append.sent_at_us());
+  SendAfterSync(std::move(answer));
+}
+
+/// Adds the entries that are missing. False if the append contradicts what
+/// is committed or has a gap; such a message is ignored.
+bool raft_core::TakeEntries(const inner::raft_append& append) {
+  uint64_t expected = append.prev_index();
+  for (const inner::raft_entry& entry : append.entries()) {
+    ++expected;
+    if (entry.index() != expected) {
+      return false;
+    }
+    if (entry.index() <= log_.BaseIndex() ||
+        log_.Matches(entry.index(), entry.term())) {
+      continue;
+    }
+    if (entry.index() <= commit_index_) {
+      return false;
+    }
+    if (entry.index() <= log_.LastIndex()) {
+      TruncateLog(entry.index());
+    }
+    AppendToLog(entry);
+  }
+  return true;
+}
+
+void raft_core::RefuseAppend(const inner::raft_message& message) {
+  const inner::raft_append& append = message.append();
+  inner::raft_message answer = MessageTo(message.from());
+  inner::raft_append_answer* body = answer.mutable_append_answer();
+  const uint64_t hint =
+      log_.LastNotAfter(append.prev_index(), append.prev_term());
+  body->set_accepted(false);
+  body->set_prev_index(append.prev_index());
+  body->set_hint_index(hint);
+  body->set_hint_term(log_.TermAt(hint).value_or(0));
+  body->set_sent_at_us(append.sent_at_us());
+  SendAfterSync(std::move(answer));
+}
+
+void raft_core::OnSnapshotPiece(const inner::raft_message& message) {
+  if (!HearLeader(message)) {
+    return;
+  }
+  const inner::raft_snapshot_piece& piece = message.snapshot_piece();
+  if (piece.index() > commit_index_) {
+    shared_snapshot whole = receiver_.Take(piece);
+    if (whole != nullptr) {
+      Install(std::move(whole));
+    }
+  }
+  inner::raft_message answer = MessageTo(message.from());
+  inner::raft_snapshot_answer* body = answer.mutable_snapshot_answer();
+  body->set_index(piece.index());
+  body->set_digest(piece.digest());
+  body->set_installed(piece.index() <= commit_index_);
+  body->set_next_offset(receiver_.NextOffset());
+  body->set_sent_at_us(piece.sent_at_us());
+  SendAfterSync(std::move(answer));
+}
+
+/// Puts the snapshot in the place of the log. Where the log holds the entry
+/// at which the snapshot was made, the entries up to it are known to be
+/// committed, and nothing is replaced: later entries may have been
+/// acknowledged.
+void raft_core::Install(shared_snapshot snapshot) {
+  if (log_.Matches(snapshot->index(), snapshot->term())) {
+    SetCommitIndex(snapshot->index());
+    return;
+  }
+  log_.Reset(snapshot->index(), snapshot->term());
+  history_.Reset(snapshot->index(), raft_membership(snapshot->membership()));
+  commit_index_ = snapshot->index();
+  handed_out_index_ = snapshot->index();
+  synced_index_ = std::min(synced_index_, snapshot->index());
+  unstored_index_ = snapshot->index() + 1;
+  snapshot_digest_ = SnapshotDigest(snapshot->data());
+  snapshot_ = snapshot;
+  installed_ = std::move(snapshot);
+}
+
+}  // namespace cardamomroute::control
--- /dev/null
+++ b/src/control/raft_core_leader.cc
@@ -0,0 +1,320 @@
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "control/raft_core.h"
+
+namespace cardamomroute::control {
+
+void raft_core::TickLeader() {
+  if (now_ >= leadership_->StepDownAt()) {
+    BecomeFollower(Term(), 0);
+    return;
+  }
+  if (now_ >= leadership_->TransferDeadline()) {
+    if (leadership_->IsTransferSent()) {
+      BecomeFollower(Term(), 0);
+      return;
+    }
+    leadership_->CancelTransfer();
+  }
+  if (now_ >= leadership_->HeartbeatAt()) {
+    SendHeartbeats();
+  }
+}
+
+void raft_core::SendHeartbeats() {
+  leadership_->SetHeartbeatAt(now_ + kHeartbeatInterval);
+  for (auto& [id, progress] : leadership_->Peers()) {
+    SendHeartbeat(id, progress);
+  }
+}
+
+/// An append without entries: renews the lease, carries the commit index, and
+/// finds out where entries were lost.
+void raft_core::SendHeartbeat(member_id to, raft_progress& progress) {
+  BeginSnapshotIfNeeded(progress);
+  const bool snapshot = progress.Mode() == raft_replication_mode::kSnapshot;
+  inner::raft_message message =
+      AppendTo(to, snapshot ? log_.BaseIndex() : progress.NextIndex() - 1);
+  TellPositions(to, *message.mutable_append());
+  if (progress.IsVerified()) {
+    message.mutable_append()->set_verified_run(*progress.Run());
+  }
+  SendNow(std::move(message));
+}
+
+inner::raft_message raft_core::AppendTo(member_id to,
+                                        uint64_t prev_index) const {
+  inner::raft_message message = MessageTo(to);
+  inner::raft_append* append = message.mutable_append();
+  append->set_prev_index(prev_index);
+  append->set_prev_term(log_.TermAt(prev_index).value_or(0));
+  append->set_commit_index(commit_index_);
+  append->set_sent_at_us(absl::ToUnixMicros(now_));
+  return message;
+}
+
+void raft_core::BeginSnapshotIfNeeded(raft_progress& progress) {
+  if (progress.Mode() != raft_replication_mode::kSnapshot &&
+      progress.NextIndex() <= log_.BaseIndex()) {
+    progress.BeginSnapshot(snapshot_, snapshot_digest_);
+  }
+}
+
+bool raft_core::MaySendAny() const {
+  if (role_ != raft_role::kLeader) {
+    return false;
+  }
+  for (const auto& [id, progress] : leadership_->Peers()) {
+    if (progress.MaySendEntries(SendLimit(id)) || progress.MaySendPiece(now_)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+/// Standbys are sent committed entries only (Copycat, 6.4). With uncommitted
+/// ones of a leader that is then lost, a standby would refuse its vote to the
+/// only candidate that counts it as a voter, and stand for no election itself.
+uint64_t raft_core::SendLimit(member_id to) const {
+  return Membership().IsVoter(to) ? LastIndex() : commit_index_;
+}
+
+/// Sends what the windows of the members allow, so that all commands proposed
+/// since the last time share their appends.
+void raft_core::FillPipelines() {
+  if (role_ != raft_role::kLeader) {
+    return;
+  }
+  for (auto& [id, progress] : leadership_->Peers()) {
+    BeginSnapshotIfNeeded(progress);
+    while (progress.MaySendEntries(SendLimit(id))) {
+      SendEntries(id, progress);
+    }
+    if (progress.MaySendPiece(now_)) {
+      SendPiece(id, progress);
+    }
+  }
+}
+
+void raft_core::SendEntries(member_id to, raft_progress& progress) {
+  inner::raft_message message = AppendTo(to, progress.NextIndex() - 1);
+  std::vector<inner::raft_entry> entries =
+      log_.Slice(progress.NextIndex(), SendLimit(to), options_.append_bytes);
+  progress.SentEntries(entries.back().index());
+  for (inner::raft_entry& entry : entries) {
+    *message.mutable_append()->add_entries() = std::move(entry);
+  }
+  SendNow(std::move(message));
+}
+
+void raft_core::SendPiece(member_id to, raft_progress& progress) {
+  inner::raft_message message = MessageTo(to);
+  *message.mutable_snapshot_piece() =
+      progress.TakePiece(now_, options_.snapshot_piece_bytes);
+  SendNow(std::move(message));
+}
+
+/// Commits what a quorum has, if it is of the present term (Ongaro, section
+/// 3.6.2).
+void raft_core::AdvanceCommit() {
+  const uint64_t index =
+      leadership_->QuorumIndex(Membership(), Doubted(), synced_index_);
+  if (index > commit_index_ && log_.Matches(index, Term())) {
+    SetCommitIndex(index);
+  }
+}
+
+/// Notes that the sender is alive. Null where the sender is no member or runs
+/// on an old copy of its disk, or this member does not lead.
+raft_progress* raft_core::HearMember(const inner::raft_message& message,
+                                     int64_t sent_at_us) {
+  if (role_ != raft_role::kLeader) {
+    return nullptr;
+  }
+  raft_progress* progress = leadership_->FindPeer(message.from());
+  if (progress == nullptr || !IsPresentRun(message, *progress)) {
+    return nullptr;
+  }
+  if (progress->Run() != message.run()) {
+    progress->BeginRun(message.run(), now_);
+  }
+  if (!message.unverified()) {
+    progress->SetVerified();
+  }
+  progress->Heard(absl::FromUnixMicros(sent_at_us), now_);
+  leadership_->UpdateContact(Membership(), Doubted());
+  return progress;
+}
+
+void raft_core::OnAppendAnswer(const inner::raft_message& message) {
+  const inner::raft_append_answer& answer = message.append_answer();
+  raft_progress* progress = HearMember(message, answer.sent_at_us());
+  if (progress == nullptr) {
+    return;
+  }
+  if (!answer.accepted()) {
+    OnRefusal(message, *progress);
+    return;
+  }
+  const bool in_snapshot = progress->Mode() == raft_replication_mode::kSnapshot;
+  if (in_snapshot && answer.match_index() < log_.BaseIndex()) {
+    return;
+  }
+  progress->Accepted(answer.match_index());
+  VerifyIfDue(message.from(), *progress);
+  AdvanceCommit();
+  TryTransfer();
+}
+
+void raft_core::OnRefusal(const inner::raft_message& message,
+                          raft_progress& progress) {
+  const inner::raft_append_answer& answer = message.append_answer();
+  if (!progress.IsNewRefusal(answer.prev_index())) {
+    return;
+  }
+  uint64_t agreed = answer.hint_index();
+  if (agreed >= log_.BaseIndex()) {
+    agreed = log_.LastNotAfter(agreed, answer.hint_term());
+  }
+  progress.ProbeAfter(std::min(agreed, answer.prev_index() - 1));
+  SendHeartbeat(message.from(), progress);
+}
+
+void raft_core::OnSnapshotAnswer(const inner::raft_message& message) {
+  const inner::raft_snapshot_answer& answer = message.snapshot_answer();
+  raft_progress* progress = HearMember(message, answer.sent_at_us());
+  if (progress == nullptr) {
+    return;
+  }
+  progress->SnapshotAnswered(answer);
+  if (progress->Mode() == raft_replication_mode::kProbe) {
+    SendHeartbeat(message.from(), *progress);
+  }
+}
+
+result<uint64_t> raft_core::AppendOwn(inner::raft_entry entry) {
+  const uint64_t index = LastIndex() + 1;
+  entry.set_index(index);
+  entry.set_term(Term());
+  uncommitted_bytes_ += entry.ByteSizeLong();
+  AppendToLog(std::move(entry));
+  return index;
+}
+
+result<uint64_t> raft_core::Propose(std::string command, absl::Time now) {
+  AdvanceClock(now);
+  if (role_ != raft_role::kLeader) {
+    return error{error_kind::kNotLeader, "", "not the leader"};
+  }
+  if (leadership_->TransferTarget() != 0) {
+    return error{error_kind::kBusy, "", "leadership is being handed over"};
+  }
+  if (uncommitted_bytes_ + command.size() > kUncommittedBytes &&
+      uncommitted_bytes_ > 0) {
+    return error{error_kind::kBusy, "", "too much is uncommitted"};
+  }
+  inner::raft_entry entry;
+  entry.set_command(std::move(command));
+  return AppendOwn(std::move(entry));
+}
+
+result<uint64_t> raft_core::ProposeMembership(const membership_change& change,
+                                              absl::Time now) {
+  AdvanceClock(now);
+  BOOST_OUTCOME_TRYV(CheckChange(change));
+  BOOST_OUTCOME_TRY(after, Membership().After(change));
+  inner::raft_entry entry;
+  *entry.mutable_membership() = after.ToRecord();
+  result<uint64_t> index = AppendOwn(std::move(entry));
+  leadership_->Follow(Membership(), Doubted(), LastIndex(), now_);
+  AdvanceCommit();
+  return index;
+}
+
+/// One change at a time, and only after an entry of the own term: otherwise
+/// two leaders could have quorums without a common voter (Ongaro, "bug in
+/// single-server membership changes", raft-dev, 2015).
+result<void> raft_core::CheckChange(const membership_change& change) const {
+  const member_id id = change.member.id();
+  const std::string place = absl::StrCat("member ", id);
+  if (role_ != raft_role::kLeader) {
+    return error{error_kind::kNotLeader, place, "not the leader"};
+  }
+  if (leadership_->TransferTarget() != 0 || IsMembershipChanging() ||
+      commit_index_ < leadership_->FirstIndex()) {
+    return error{error_kind::kBusy, place, "a change is under way"};
+  }
+  if (id == options_.self) {
+    return error{error_kind::kValueOutOfRange, place, "is the leader"};
+  }
+  if (change.kind == membership_change_kind::kPromote) {
+    const auto peer = leadership_->Peers().find(id);
+    if (peer != leadership_->Peers().end() && !IsCaughtUp(peer->second)) {
+      return error{error_kind::kBusy, place, "is not caught up"};
+    }
+  }
+  return boost::outcome_v2::success();
+}
+
+bool raft_core::IsCaughtUp(const raft_progress& progress) const {
+  return progress.IsVerified() && progress.MatchIndex() > 0 &&
+         progress.MatchIndex() + kCaughtUpEntries >= LastIndex();
+}
+
+result<void> raft_core::TransferLeadership(member_id target, absl::Time now) {
+  AdvanceClock(now);
+  const std::string place = absl::StrCat("member ", target);
+  if (role_ != raft_role::kLeader) {
+    return error{error_kind::kNotLeader, place, "not the leader"};
+  }
+  if (target == options_.self || !Membership().IsVoter(target)) {
+    return error{error_kind::kUnknownMember, place, "not another voter"};
+  }
+  if (leadership_->TransferTarget() != 0) {
+    return error{error_kind::kBusy, place, "a transfer is under way"};
+  }
+  leadership_->BeginTransfer(target, now_ + kElectionTimeout);
+  TryTransfer();
+  return boost::outcome_v2::success();
+}
+
+/// Tells the target of a transfer to stand for election once it has all.
+void raft_core::TryTransfer() {
+  const member_id target = leadership_->TransferTarget();
+  raft_progress* progress = leadership_->FindPeer(target);
+  if (progress == nullptr || leadership_->IsTransferSent() ||
+      !progress->IsVerified() || progress->MatchIndex() < LastIndex()) {
+    return;
+  }
+  inner::raft_message message = MessageTo(target);
+  message.mutable_timeout_now();
+  SendNow(std::move(message));
+  leadership_->TransferSent();
+}
+
+std::vector<raft_member_status> raft_core::MemberStatuses() const {
+  std::vector<raft_member_status> statuses;
+  if (role_ != raft_role::kLeader) {
+    return statuses;
+  }
+  for (const inner::member_record& member : Membership().Members()) {
+    raft_member_status status;
+    status.member = member;
+    const auto peer = leadership_->Peers().find(member.id());
+    if (peer == leadership_->Peers().end()) {
+      status.last_contact = now_;
+      status.match_index = LastIndex();
+      status.caught_up = true;
+    } else {
+      status.last_contact = peer->second.LastContact();
+      status.match_index = peer->second.MatchIndex();
+      status.caught_up = IsCaughtUp(peer->second);
+    }
+    statuses.push_back(std::move(status));
+  }
+  return statuses;
+}
+
+}  // namespace cardamomroute::control
--- /dev/null
+++ b/src/control/raft_disk_test_support.cc
@@ -0,0 +1,159 @@
+// What the disks of the fake group hold, and how they are lost or put back.
+#include <algorithm>
+
+#include "control/raft_test_support.h"
+
+namespace cardamomroute::control {
+namespace {
+
+/// A disk is lost only this long after the one before it.
+constexpr int64_t kLossSpacingMs = 1000;
+constexpr size_t kCopiesKept = 64;
+
+}  // namespace
+
+void fake_disk::Write(const raft_ready& ready, size_t entry_count) {
+  if (ready.hard_state.has_value()) {
+    hard_state = *ready.hard_state;
+  }
+  if (ready.snapshot != nullptr) {
+    snapshot = ready.snapshot;
+    entries.clear();
+  }
+  if (ready.entries.empty()) {
+    return;
+  }
+  const uint64_t first = ready.entries.front().index();
+  while (!entries.empty() && entries.back().index() >= first) {
+    entries.pop_back();
+  }
+  entries.insert(entries.end(), ready.entries.begin(),
+                 ready.entries.begin() + static_cast<int64_t>(entry_count));
+}
+
+recovered_state fake_disk::Recover() const {
+  recovered_state state;
+  state.hard_state = hard_state;
+  state.snapshot = snapshot;
+  state.entries = entries;
+  return state;
+}
+
+bool fake_group::LoseDisk(size_t vm) {
+  if (!MayLose(vm)) {
+    return false;
+  }
+  ReplaceDisk(vm);
+  return true;
+}
+
+void fake_group::ReplaceDisk(size_t vm) {
+  Crash(vm);
+  lost_at_ms_[vms_[vm].disk.id] = now_ms_;
+  vms_[vm].disk = fake_disk();
+  vms_[vm].copies.clear();
+  vms_[vm].rolled_back = false;
+  vms_[vm].disk.id = next_id_++;
+  vm_of_[vms_[vm].disk.id] = vm;
+  StartCore(vm);
+}
+
+bool fake_group::RollBack(size_t vm, size_t permille) {
+  if (!MayLose(vm)) {
+    return false;
+  }
+  Crash(vm);
+  std::vector<fake_disk>& copies = vms_[vm].copies;
+  const size_t chosen = (copies.size() - 1) * permille / 1000;
+  copies.resize(chosen + 1);
+  vms_[vm].disk = copies.back();
+  vms_[vm].rolled_back = true;
+  StartCore(vm);
+  return true;
+}
+
+void fake_group::KeepCopy(size_t vm) {
+  std::vector<fake_disk>& copies = vms_[vm].copies;
+  copies.push_back(vms_[vm].disk);
+  if (copies.size() > kCopiesKept) {
+    copies.erase(copies.begin() +
+                 static_cast<int64_t>(random_() % (kCopiesKept / 2)));
+  }
+}
+
+/// A VM that finds its disk to be an old copy gives it up, as its process does.
+void fake_group::StepDisk(size_t vm) {
+  if (vms_[vm].core->IsOldCopy()) {
+    ++old_copies_found_;
+    ReplaceDisk(vm);
+  } else if (vms_[vm].core->IsVerified()) {
+    vms_[vm].rolled_back = false;
+  }
+}
+
+/// A VM without a group tells all others who it is.
+void fake_group::StepHello(size_t vm) {
+  if (now_ms_ % 100 != 0 ||
+      vms_[vm].core->Membership().Find(vms_[vm].disk.id) != nullptr) {
+    return;
+  }
+  for (size_t to = 0; to < vms_.size(); ++to) {
+    if (to != vm && vms_[to].core != nullptr && blocked_.count({vm, to}) == 0) {
+      vms_[to].core->NoteReplaced(vms_[vm].Member(inner::STANDBY));
+    }
+  }
+}
+
+/// True if the group can stand the loss: the other disks must be able to go
+/// on under every membership that may come into force. One of these is that
+/// the VM, or one on an old copy, was a standby just about to be promoted.
+bool fake_group::MayLose(size_t vm) const {
+  for (const auto& [id, at_ms] : lost_at_ms_) {
+    if (now_ms_ < at_ms + kLossSpacingMs) {
+      return false;
+    }
+  }
+  const member_id lost = vms_[vm].disk.id;
+  if (!IsQuorumIntact(committed_membership_, lost)) {
+    return false;
+  }
+  for (const fake_vm& other : vms_) {
+    if (other.core != nullptr &&
+        !IsQuorumIntact(other.core->Membership(), lost)) {
+      return false;
+    }
+    for (const inner::raft_entry& entry : other.disk.entries) {
+      if (entry.has_membership() &&
+          entry.index() > committed_membership_index_ &&
+          !IsQuorumIntact(raft_membership(entry.membership()), lost)) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+bool fake_group::IsQuorumIntact(const raft_membership& membership,
+                                member_id lost) const {
+  absl::flat_hash_set<member_id> intact;
+  std::vector<member_id> damaged = {lost};
+  for (const fake_vm& vm : vms_) {
+    if (vm.disk.id != lost && !vm.rolled_back) {
+      intact.insert(vm.disk.id);
+    } else {
+      damaged.push_back(vm.disk.id);
+    }
+  }
+  for (const member_id id : damaged) {
+    membership_change promotion;
+    promotion.kind = membership_change_kind::kPromote;
+    promotion.member.set_id(id);
+    const auto promoted = membership.After(promotion);
+    if (promoted && !promoted.value().IsQuorum(intact)) {
+      return false;
+    }
+  }
+  return membership.VoterCount() == 0 || membership.IsQuorum(intact);
+}
+
+}  // namespace cardamomroute::control
--- /dev/null
+++ b/src/control/raft_leadership.cc
@@ -0,0 +1,126 @@
+#include "control/raft_leadership.h"
+
+#include <algorithm>
+#include <functional>
+#include <vector>
+
+#include "control/raft_options.h"
+
+namespace cardamomroute::control {
+namespace {
+
+/// What voters have reached each.
+template <class T>
+struct reached_values {
+  std::vector<T> verified;
+  std::vector<T> unverified;
+
+  void Add(const raft_progress& progress, T value) {
+    (progress.IsVerified() ? verified : unverified).push_back(value);
+  }
+
+  /// The value that at least `quorum` voters reach, of whom the `doubted`
+  /// furthest unverified ones do not count; `none` where there are too few.
+  T ReachedBy(size_t quorum, size_t doubted, T none) {
+    std::sort(unverified.begin(), unverified.end(), std::greater<T>());
+    const size_t passed = std::min(doubted, unverified.size());
+    std::vector<T> values = verified;
+    values.insert(values.end(),
+                  unverified.begin() + static_cast<ptrdiff_t>(passed),
+                  unverified.end());
+    if (values.size() < quorum) {
+      return none;
+    }
+    std::sort(values.begin(), values.end(), std::greater<T>());
+    return values.at(quorum - 1);
+  }
+};
+
+}  // namespace
+
+raft_leadership::raft_leadership(member_id self, uint64_t first_index,
+                                 absl::Time now)
+    : self_(self),
+      first_index_(first_index),
+      elected_at_(now),
+      step_down_at_(now + kElectionTimeout),
+      heartbeat_at_(now) {}
+
+raft_progress* raft_leadership::FindPeer(member_id id) {
+  const auto found = peers_.find(id);
+  return found == peers_.end() ? nullptr : &found->second;
+}
+
+void raft_leadership::Follow(const raft_membership& membership, size_t doubted,
+                             uint64_t last_index, absl::Time now) {
+  for (const inner::member_record& member : membership.Members()) {
+    if (member.id() != self_) {
+      peers_.try_emplace(member.id(), last_index, now);
+    }
+  }
+  for (auto peer = peers_.begin(); peer != peers_.end();) {
+    const bool known = membership.Find(peer->first) != nullptr;
+    peer = known ? std::next(peer) : peers_.erase(peer);
+  }
+  UpdateContact(membership, doubted);
+}
+
+void raft_leadership::UpdateContact(const raft_membership& membership,
+                                    size_t doubted) {
+  reached_values<absl::Time> sent_at;
+  if (membership.IsVoter(self_)) {
+    sent_at.verified.push_back(absl::InfiniteFuture());
+  }
+  for (const auto& [id, progress] : peers_) {
+    if (membership.IsVoter(id)) {
+      sent_at.Add(progress, progress.AnsweredSentAt());
+    }
+  }
+  const absl::Time contact =
+      sent_at.ReachedBy(membership.Quorum(), doubted, absl::InfinitePast());
+  step_down_at_ = std::max(elected_at_, contact) + kElectionTimeout;
+  lease_end_ = transfer_sent_ ? absl::InfinitePast() : contact + kLeaderLease;
+}
+
+uint64_t raft_leadership::QuorumIndex(const raft_membership& membership,
+                                      size_t doubted,
+                                      uint64_t own_index) const {
+  reached_values<uint64_t> indexes;
+  if (membership.IsVoter(self_)) {
+    indexes.verified.push_back(own_index);
+  }
+  for (const auto& [id, progress] : peers_) {
+    if (membership.IsVoter(id)) {
+      indexes.Add(progress, progress.MatchIndex());
+    }
+  }
+  return indexes.ReachedBy(membership.Quorum(), doubted, 0);
+}
+
+bool raft_leadership::HasQuorumWithout(member_id id,
+                                       const raft_membership& membership,
+                                       absl::Time since) const {
+  absl::flat_hash_set<member_id> followers = {self_};
+  for (const auto& [other, progress] : peers_) {
+    if (other != id && progress.AnsweredSentAt() > since) {
+      followers.insert(other);
+    }
+  }
+  return membership.IsQuorum(followers);
+}
+
+void raft_leadership::BeginTransfer(member_id target, absl::Time deadline) {
+  transfer_target_ = target;
+  transfer_deadline_ = deadline;
+}
+
+void raft_leadership::TransferSent() {
+  transfer_sent_ = true;
+  lease_end_ = absl::InfinitePast();
+}
+
+absl::Time raft_leadership::TransferDeadline() const {
+  return transfer_target_ == 0 ? absl::InfiniteFuture() : transfer_deadline_;
+}
+
+}  // namespace cardamomroute::control
--- /dev/null
+++ b/src/control/registry_core.cc
@@ -0,0 +1,333 @@
+#include "control/registry_core.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+#include <vector>
+
+#include "view/member_book.h"
+#include "view/subtree_codec.h"
+
+namespace cardamomroute::control {
+namespace {
+
+inner::node_join JoinOf(const inner::pull_request& pull) {
+  inner::node_join join;
+  join.set_node_name(pull.node_name());
+  join.set_incarnation(pull.incarnation());
+  if (pull.has_announced_target()) {
+    *join.mutable_target() = pull.announced_target();
+    join.set_service(pull.announced_service());
+  } else {
+    *join.mutable_balancer() = pull.announced_balancer();
+  }
+  return join;
+}
+
+bool IsAnnouncement(const inner::pull_request& pull) {
+  return pull.has_announced_target() || pull.has_announced_balancer();
+}
+
+bool IsEmpty(const inner::registry_batch& batch) {
+  return batch.joined_size() == 0 && batch.drained_size() == 0 &&
+         batch.lost_size() == 0 && batch.lost_zones_size() == 0;
+}
+
+size_t SizeOf(const inner::registry_batch& batch) {
+  return batch.joined_size() + batch.drained_size() + batch.lost_size();
+}
+
+}  // namespace
+
+void registry_core::StartLeading(const control_state& state, absl::Time now) {
+  *this = registry_core();
+  leading_ = true;
+  next_batch_at_ = now;
+  next_loss_at_ = now + kRegistryLease;
+  for (const auto& [name, node] : state.Nodes().Nodes()) {
+    heard_[name] = {node.incarnation, 0, now, now + kRegistryLease};
+  }
+}
+
+void registry_core::StopLeading() { *this = registry_core(); }
+
+bool registry_core::OnPull(const inner::pull_request& pull,
+                           const control_state& state, absl::Time now) {
+  if (!IsAnnouncement(pull) || pull.node_name().empty()) {
+    return true;
+  }
+  const registered_node* known = state.Nodes().Find(pull.node_name());
+  if (known != nullptr && known->incarnation > pull.incarnation()) {
+    return true;  // An older process: it renews nothing.
+  }
+  Hear(pull.node_name(), pull.have_version(), now);
+  heard_[pull.node_name()].incarnation = pull.incarnation();
+  NoteAnnouncement(pull, state);
+  return pull.announce_only() || HearSubtree(pull, state, now);
+}
+
+void registry_core::Hear(const std::string& name, uint64_t version,
+                         absl::Time now) {
+  heard_node& node = heard_[name];
+  node.version = version;
+  node.last_heard = now;
+  node.deadline = now + kRegistryLease;
+}
+
+bool registry_core::HearSubtree(const inner::pull_request& pull,
+                                const control_state& state, absl::Time now) {
+  const inner::subtree_report& subtree = pull.subtree();
+  const bool has_list = !pull.has_subtree() || subtree.member_steps_size() > 0;
+  const auto known = relays_.find(pull.node_name());
+  if (!has_list &&
+      (known == relays_.end() || known->second.digest != subtree.digest())) {
+    return false;
+  }
+  if (!pull.has_subtree() && known == relays_.end()) {
+    return true;
+  }
+  relay_subtree& relay = relays_[pull.node_name()];
+  relay.deadline = now + kRegistryLease;
+  if (has_list) {
+    const std::vector<uint64_t> before = std::move(relay.ids);
+    relay.digest = subtree.digest();
+    relay.ids = ReadMembers(subtree);
+    DoubtMissing(before, relay.ids, state, now);
+  }
+  uint64_t version = pull.have_version();
+  for (const inner::version_count& count : subtree.versions()) {
+    version = std::min(version, count.version());
+  }
+  HearMembers(relay, version, state, now);
+  if (relay.ids.empty()) {
+    relays_.erase(pull.node_name());
+  }
+  return true;
+}
+
+// Each member has at least `version`: the oldest of the whole subtree.
+void registry_core::HearMembers(const relay_subtree& relay, uint64_t version,
+                                const control_state& state, absl::Time now) {
+  for (const uint64_t id : relay.ids) {
+    const std::string* name = state.Nodes().NameOf(id);
+    if (name == nullptr) {
+      continue;
+    }
+    heard_node& node = heard_[*name];
+    node.version = std::max(node.version, version);
+    node.last_heard = now;
+    node.deadline = std::max(node.deadline, now + kRelayedLease);
+  }
+}
+
+// They may be heard through another relay meanwhile.
+void registry_core::DoubtMissing(const std::vector<uint64_t>& before,
+                                 const std::vector<uint64_t>& after,
+                                 const control_state& state, absl::Time now) {
+  std::vector<uint64_t> missing;
+  std::set_difference(before.begin(), before.end(), after.begin(), after.end(),
+                      std::back_inserter(missing));
+  for (const uint64_t id : missing) {
+    const std::string* name = state.Nodes().NameOf(id);
+    const auto node = name != nullptr ? heard_.find(*name) : heard_.end();
+    if (node != heard_.end()) {
+      node->second.deadline =
+          std::min(node->second.deadline, now + kDoubtLease);
+    }
+  }
+}
+
+void registry_core::NoteAnnouncement(const inner::pull_request& pull,
+                                     const control_state& state) {
+  const registered_node* known = state.Nodes().Find(pull.node_name());
+  const bool is_registered =
+      known != nullptr && known->incarnation == pull.incarnation();
+  if (pull.leaving()) {
+    joining_.erase(pull.node_name());
+    if (is_registered) {
+      leaving_.insert(pull.node_name());
+    }
+  } else if (!is_registered) {
+    joining_[pull.node_name()] = JoinOf(pull);
+  }
+}
+
+std::optional<inner::registry_batch> registry_core::TakeBatch(
+    const control_state& state, absl::Time now) {
+  if (!leading_ || in_flight_ || now < next_batch_at_) {
+    return std::nullopt;
+  }
+  inner::registry_batch batch;
+  if (now >= next_loss_at_) {
+    AddLosses(state, now, &batch);
+    ForgetExpired(state, now);
+    next_loss_at_ = now + kLossInterval;
+  }
+  AddLeavers(state, &batch);
+  AddJoins(state, now, &batch);
+  next_batch_at_ = now + kBatchInterval;
+  if (IsEmpty(batch)) {
+    return std::nullopt;
+  }
+  in_flight_ = true;
+  return batch;
+}
+
+void registry_core::AddJoins(const control_state& state, absl::Time now,
+                             inner::registry_batch* batch) {
+  for (auto join = joining_.begin(); join != joining_.end();) {
+    const registered_node* known = state.Nodes().Find(join->first);
+    const auto heard = heard_.find(join->first);
+    if (heard == heard_.end() || now >= heard->second.deadline ||
+        (known != nullptr &&
+         known->incarnation >= join->second.incarnation())) {
+      join = joining_.erase(join);
+      continue;
+    }
+    if (SizeOf(*batch) < kBatchNodes && MayJoin(join->second, state, now)) {
+      *batch->add_joined() = join->second;
+    }
+    ++join;
+  }
+}
+
+// Waits for the service to be in the text, and for the lease of another node
+// with the same address to run out.
+bool registry_core::MayJoin(const inner::node_join& join,
+                            const control_state& state, absl::Time now) const {
+  if (!join.has_target()) {
+    return true;
+  }
+  const auto agent = ParseEndpoint(join.target().agent());
+  if (!agent || !state.HasService(join.service())) {
+    return false;
+  }
+  const std::string* holder = state.Nodes().NameOfAgent(agent.value());
+  if (holder == nullptr || *holder == join.node_name()) {
+    return true;
+  }
+  const auto heard = heard_.find(*holder);
+  return heard == heard_.end() || now >= heard->second.deadline;
+}
+
+// Targets drain until they fall silent; balancers leave the view at once.
+void registry_core::AddLeavers(const control_state& state,
+                               inner::registry_batch* batch) {
+  for (auto name = leaving_.begin();
+       name != leaving_.end() && SizeOf(*batch) < kBatchNodes;) {
+    const registered_node* node = state.Nodes().Find(*name);
+    const target* present =
+        node != nullptr ? state.View().FindTarget(node->id) : nullptr;
+    if (present != nullptr && present->state == target_state::kServing) {
+      batch->add_drained(node->id);
+    } else if (node != nullptr && present == nullptr) {
+      batch->add_lost(node->id);
+    }
+    name = leaving_.erase(name);
+  }
+}
+
+registry_core::zone_table registry_core::CollectZones(
+    const control_state& state, absl::Time now) const {
+  zone_table zones;
+  const auto add = [&](const auto& item) {
+    zone_members& zone = zones[item.zone];
+    ++zone.nodes;
+    const auto heard = heard_.find(*state.Nodes().NameOf(item.id));
+    if (heard == heard_.end()) {
+      return;
+    }
+    zone.suspected += now >= heard->second.last_heard + kZoneSuspicion ? 1 : 0;
+    if (now >= heard->second.deadline) {
+      zone.lost.push_back(item.id);
+    }
+  };
+  const view& present = state.View();
+  std::for_each(present.targets.begin(), present.targets.end(), add);
+  std::for_each(present.balancers.begin(), present.balancers.end(), add);
+  return zones;
+}
+
+bool registry_core::IsHeld(const zone_table& zones, absl::Time now) {
+  size_t nodes = 0;
+  size_t lost = 0;
+  for (const auto& [name, zone] : zones) {
+    nodes += zone.nodes;
+    lost += zone.lost.size();
+  }
+  if (2 * lost <= nodes) {
+    held_until_.reset();
+    return false;
+  }
+  if (!held_until_) {
+    held_until_ = now + kMassLossHold;
+  }
+  return now < *held_until_;
+}
+
+void registry_core::AddLosses(const control_state& state, absl::Time now,
+                              inner::registry_batch* batch) {
+  const zone_table zones = CollectZones(state, now);
+  if (IsHeld(zones, now)) {
+    return;
+  }
+  for (const auto& [name, zone] : zones) {
+    if (!zone.IsSilent()) {
+      batch->mutable_lost()->Add(zone.lost.begin(), zone.lost.end());
+    } else if (zone.lost.size() == zone.nodes) {
+      inner::zone_loss* loss = batch->add_lost_zones();
+      loss->set_zone(name);
+      loss->set_below_id(state.Nodes().NextId());
+    }
+  }
+}
+
+bool registry_core::IsGone(const std::string& name, const heard_node& node,
+                           const control_state& state, absl::Time now) {
+  return now >= node.deadline && state.Nodes().Find(name) == nullptr;
+}
+
+void registry_core::ForgetExpired(const control_state& state, absl::Time now) {
+  for (auto relay = relays_.begin(); relay != relays_.end();) {
+    const auto current = relay++;
+    if (now >= current->second.deadline) {
+      relays_.erase(current);
+    }
+  }
+  for (auto node = heard_.begin(); node != heard_.end();) {
+    const auto current = node++;
+    if (IsGone(current->first, current->second, state, now)) {
+      heard_.erase(current);
+    }
+  }
+}
+
+in_force_count registry_core::CountInForce(uint64_t version,
+                                           absl::Time now) const {
+  in_force_count count;
+  for (const auto& [name, node] : heard_) {
+    if (now < node.deadline) {
+      ++count.nodes;
+      count.in_force += node.version >= version ? 1 : 0;
+    }
+  }
+  return count;
+}
+
+std::vector<node_report> registry_core::Nodes(const control_state& state,
+                                              absl::Time now) const {
+  std::vector<node_report> reports;
+  reports.reserve(heard_.size());
+  for (const auto& [name, node] : heard_) {
+    if (!IsGone(name, node, state, now)) {
+      reports.push_back({name, node.version, node.last_heard});
+    }
+  }
+  std::sort(reports.begin(), reports.end(),
+            [](const node_report& a, const node_report& b) {
+              return a.name < b.name;
+            });
+  return reports;
+}
+
+}  // namespace cardamomroute::control
--- /dev/null
+++ b/src/control/repair_core_test.cc
@@ -0,0 +1,179 @@
+#include "control/repair_core.h"
+
+#include <rapidcheck/boost_test.h>
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "control/raft_membership.h"
+#include "control/raft_options.h"
+
+namespace cardamomroute::control {
+namespace {
+
+constexpr member_id kLeader = 1;
+const absl::Time kNow = absl::FromUnixSeconds(1000);
+
+raft_member_status Status(member_id id, inner::member_role role,
+                          absl::Duration silent_for, bool caught_up = true) {
+  raft_member_status status;
+  status.member.set_id(id);
+  status.member.set_name(absl::StrCat("vm", id));
+  status.member.set_address(absl::StrCat("vm", id, ":1"));
+  status.member.set_role(role);
+  status.last_contact = kNow - silent_for;
+  status.caught_up = caught_up;
+  return status;
+}
+
+inner::membership_record RecordOf(
+    const std::vector<raft_member_status>& members) {
+  inner::membership_record record;
+  for (const raft_member_status& status : members) {
+    *record.add_members() = status.member;
+  }
+  return record;
+}
+
+size_t Available(const std::vector<raft_member_status>& members) {
+  return static_cast<size_t>(std::count_if(
+      members.begin(), members.end(), [](const raft_member_status& status) {
+        return status.member.role() == inner::VOTER &&
+               kNow < status.last_contact + kMemberLease;
+      }));
+}
+
+/// What the leader knows after the change.
+std::vector<raft_member_status> After(
+    const std::vector<raft_member_status>& members,
+    const membership_change& change) {
+  const auto membership =
+      raft_membership(RecordOf(members)).After(change).value();
+  std::vector<raft_member_status> after;
+  for (const inner::member_record& member : membership.Members()) {
+    raft_member_status status = Status(member.id(), member.role(), {});
+    for (const raft_member_status& before : members) {
+      if (before.member.id() == member.id()) {
+        status = before;
+      }
+    }
+    status.member = member;
+    after.push_back(status);
+  }
+  return after;
+}
+
+rc::Gen<raft_member_status> AnyOther(member_id id) {
+  return rc::gen::apply(
+      [id](bool voter, int silent_ms, bool caught_up) {
+        return Status(id, voter ? inner::VOTER : inner::STANDBY,
+                      absl::Milliseconds(silent_ms), caught_up);
+      },
+      rc::gen::arbitrary<bool>(),
+      rc::gen::element(0, 50, 1000, 2999, 3000, 9000),
+      rc::gen::arbitrary<bool>());
+}
+
+/// From any state in which the leader has a quorum, repairs come to an end,
+/// keep the quorum at each step, promote only members that are present and
+/// caught up, and replace silent voters as far as there are such standbys.
+RC_BOOST_PROP(RepairsEndAndKeepTheQuorum, ()) {
+  std::vector<raft_member_status> members = {Status(kLeader, inner::VOTER, {})};
+  const auto others = *rc::gen::inRange<member_id>(0, kMaxMembers);
+  for (member_id id = 2; id < 2 + others; ++id) {
+    members.push_back(*AnyOther(id));
+  }
+  const auto quorum = [&] {
+    return raft_membership(RecordOf(members)).Quorum();
+  };
+  RC_PRE(Available(members) >= quorum());
+  repair_core repair(3);
+  int changes = 0;
+  while (const auto change = repair.Decide(kLeader, members, kNow)) {
+    RC_ASSERT(++changes <= 10);
+    RC_ASSERT(change->member.id() != kLeader);
+    if (change->kind == membership_change_kind::kPromote) {
+      const auto promoted =
+          std::find_if(members.begin(), members.end(), [&](const auto& status) {
+            return status.member.id() == change->member.id();
+          });
+      RC_ASSERT(promoted->caught_up);
+      RC_ASSERT(kNow < promoted->last_contact + kPromotionContact);
+    }
+    const size_t before = Available(members);
+    members = After(members, *change);
+    RC_ASSERT(Available(members) >= quorum());
+    RC_ASSERT(Available(members) >= std::min<size_t>(before, 3));
+  }
+  const bool spare = std::any_of(
+      members.begin(), members.end(), [](const raft_member_status& status) {
+        return status.member.role() == inner::STANDBY && status.caught_up &&
+               kNow < status.last_contact + kPromotionContact;
+      });
+  RC_ASSERT(Available(members) >= 3U || !spare);
+}
+
+BOOST_AUTO_TEST_CASE(ALostVoterIsDemotedOnlyAfterThePromotion) {
+  repair_core repair(3);
+  std::vector<raft_member_status> members = {
+      Status(1, inner::VOTER, {}), Status(2, inner::VOTER, {}),
+      Status(3, inner::VOTER, kMemberLease), Status(4, inner::STANDBY, {})};
+  const auto first = repair.Decide(kLeader, members, kNow);
+  BOOST_REQUIRE(first.has_value());
+  BOOST_TEST((first->kind == membership_change_kind::kPromote));
+  BOOST_TEST(first->member.id() == 4U);
+  members = After(members, *first);
+  const auto second = repair.Decide(kLeader, members, kNow);
+  BOOST_REQUIRE(second.has_value());
+  BOOST_TEST((second->kind == membership_change_kind::kDemote));
+  BOOST_TEST(second->member.id() == 3U);
+  members = After(members, *second);
+  BOOST_TEST(!repair.Decide(kLeader, members, kNow).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(AVmThatLostItsDiskTakesItsOldPlaceAsStandby) {
+  repair_core repair(3);
+  std::vector<raft_member_status> members = {
+      Status(1, inner::VOTER, {}), Status(2, inner::VOTER, {}),
+      Status(3, inner::VOTER, kMemberLease)};
+  inner::member_record joiner = members[2].member;
+  joiner.set_id(9);
+  BOOST_TEST(repair.RequestJoin(joiner, members, kNow).has_value());
+  std::vector<std::string> changes;
+  while (const auto change = repair.Decide(kLeader, members, kNow)) {
+    changes.push_back(absl::StrCat(std::string(NameOf(change->kind)), " ",
+                                   change->member.id()));
+    members = After(members, *change);
+  }
+  const std::vector<std::string> expected = {"add-standby 9", "promote 9",
+                                             "demote 3", "remove 3"};
+  BOOST_TEST(changes == expected, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(AnAvailableMemberKeepsItsNameAndAFullGroupItsMembers) {
+  repair_core repair(3);
+  std::vector<raft_member_status> members;
+  for (member_id id = 1; id <= kMaxMembers; ++id) {
+    members.push_back(Status(id, id <= 3 ? inner::VOTER : inner::STANDBY, {}));
+  }
+  inner::member_record joiner = members[6].member;
+  joiner.set_id(9);
+  BOOST_TEST((repair.RequestJoin(joiner, members, kNow).error().kind ==
+              error_kind::kDuplicateName));
+  joiner.set_name("new");
+  joiner.set_address("new:1");
+  BOOST_TEST((repair.RequestJoin(joiner, members, kNow).error().kind ==
+              error_kind::kValueOutOfRange));
+  members[4].last_contact = kNow - kMemberLease;
+  BOOST_TEST(repair.RequestJoin(joiner, members, kNow).has_value());
+  const auto change = repair.Decide(kLeader, members, kNow);
+  BOOST_REQUIRE(change.has_value());
+  BOOST_TEST((change->kind == membership_change_kind::kRemove));
+  BOOST_TEST(change->member.id() == 5U);
+}
+
+}  // namespace
+}  // namespace cardamomroute::control
--- /dev/null
+++ b/src/control/submission_outcome.h
@@ -0,0 +1,25 @@
+#ifndef CARDAMOMROUTE_CONTROL_SUBMISSION_OUTCOME_H_
+#define CARDAMOMROUTE_CONTROL_SUBMISSION_OUTCOME_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "base/result.h"
+
+namespace cardamomroute::control {
+
+/// What became of a submitted text.
+struct submission_outcome {
+  /// Empty when the text was accepted.
+  std::optional<error> refusal;
+  /// Version and digest of the text that was in force right after.
+  uint64_t version = 0;
+  std::string digest;
+
+  bool Accepted() const { return !refusal.has_value(); }
+};
+
+}  // namespace cardamomroute::control
+
+#endif  // CARDAMOMROUTE_CONTROL_SUBMISSION_OUTCOME_H_
