--- /dev/null
+++ b/tools/case.py
@@ -0,0 +1,83 @@
+"""What every whole-program case shares."""
+
+import json
+import sys
+import tempfile
+
+from polling import poll
+from small_site import Site
+
+# Exit status of commands that did nothing.
+TRY_LATER = 4
+
+# Longer than all that a caller's datagrams are repeated for.
+PATIENCE_SECONDS = 40
+
+
+def serving_site(folder, description, kind=Site, **options):
+    """A site that is up and whose every service answers."""
+    site = kind(folder, description, **options)
+    try:
+        site.start_serving()
+    except BaseException:
+        site.kill_all()
+        raise
+    return site
+
+
+def both_services(site, seconds):
+    """Callers of both services of Kresba."""
+    return [
+        site.start_callers("trade-desk", "non_idempotent_call", sessions=40,
+                           rate=80, seconds=seconds, patience=PATIENCE_SECONDS),
+        site.start_callers("scan-intake", "upload", sessions=10, rate=10,
+                           seconds=seconds, patience=PATIENCE_SECONDS)]
+
+
+def tried_later(answer):
+    """The answer to a command, or None where nothing was done."""
+    return None if answer[0] == TRY_LATER else answer
+
+
+def check_text(site, milliseconds, lost, without=None):
+    """Submits another text while these processes are lost; faults where it is
+    not in force on every node that is left."""
+    text = site.changed_text(milliseconds, without)
+    status, output = poll(lambda: tried_later(site.apply(text)), 30, "a leader")
+    if status != 0:
+        return {f"apply: {output}": status}
+    _, shown = site.command("show", "--json")
+    version = json.loads(shown.splitlines()[-1])["version"]
+    behind = [name for name in site.nodes() if name not in lost
+              and site.node_status(name)["view_version"] < version]
+    return {f"behind {behind}": len(behind)} if behind else {}
+
+
+def check_in_force(site, nodes, seconds):
+    """Faults where not exactly so many nodes have the view within that time."""
+    seen = site.wait_in_force(nodes, seconds)
+    if (seen.get("nodes"), seen.get("nodes_with_view")) == (nodes, nodes):
+        return {}
+    return {f"of {nodes} nodes: {seen}": 1}
+
+
+def check_outside(site, totals, lost):
+    """Faults that the loss of these processes does not account for: those that
+    are never allowed, and requests without an answer that others had run."""
+    faults = totals.broken_promises(allowed=("lost", "unknown", "refused"))
+    others = {request for names in site.targets.values() for name in names
+              if name not in lost for request in site.runs_of(name)}
+    missed = [request for outcome in ("lost", "unknown")
+              for request in totals.ids.get(outcome, []) if request in others]
+    if missed:
+        faults[f"run elsewhere without an answer: {missed}"] = len(missed)
+    return faults
+
+
+def run(body):
+    """Runs `body(folder)`, which returns the faults it found, and exits."""
+    with tempfile.TemporaryDirectory(prefix="cardamomroute-case-") as folder:
+        faults = body(folder)
+    for key, count in faults.items():
+        print(f"NOT KEPT: {key}: {count}")
+    sys.exit(1 if faults else 0)
