testsuite/relays: agents start once the balancers are in the view

Agents that find no balancer in the view have to relay, so they take the whole view and keep it for a minute (kWholeKept). The case started all processes at once, and whether a balancer or three agents were registered first was a race.

The order that the check takes for granted is now made by the case. The check itself is as it was.

--- a/testsuite/relays/run.py
+++ b/testsuite/relays/run.py
@@ -6,6 +6,7 @@
 import time
 
 import case
+from polling import poll
 from small_site import CONTROL_PORT, INNER_PORT, KRESBA, Site
 
 MAX_DIRECT_NODES = 4
@@ -26,6 +27,15 @@
             content["control"]["max_direct_nodes"] = MAX_DIRECT_NODES
             self.write_json(name, content)
 
+    def start_traffic(self):
+        """Agents come after the balancers: those that see none in the view
+        take all of it, to relay themselves, and keep it for a minute."""
+        self.start_balancers()
+        poll(lambda: self.status().get("balancers") == len(self.balancers),
+             LONGEST_SETTLE_SECONDS, "the balancers are in the view")
+        self.start_targets()
+        self.start_fabric()
+
     def pulled_from(self, port):
         """Which nodes have a connection to which address at this port."""
         listing = subprocess.run(["ss", "-tnpOH"], stdout=subprocess.PIPE,
--- a/tools/small_site.py
+++ b/tools/small_site.py
@@ -213,13 +213,19 @@
             self.start_role("control", name)
 
     def start_traffic(self):
+        self.start_balancers()
+        self.start_targets()
+        self.start_fabric()
+
+    def start_balancers(self):
         for name in self.balancers:
             self.start_role("balancer", name)
+
+    def start_targets(self):
         for service, names in self.targets.items():
             for name in names:
                 self.start_upstream(service, name)
                 self.start_role("agent", name)
-        self.start_fabric()
 
     def start_fabric(self):
         arguments = [BIN / "cardamomroute-fabric", "--return",
