testsuite: a failed case prints the logs of its processes

Now the last 40 lines of each process's log and output follow, also where the case ends early by an exception, which becomes a fault of its own. The verdict is unchanged.

--- a/tools/case.py
+++ b/tools/case.py
@@ -1,8 +1,10 @@
 """What every whole-program case shares."""
 
 import json
+import pathlib
 import sys
 import tempfile
+import traceback
 
 from polling import poll
 from small_site import Site
@@ -13,6 +15,9 @@
 # Longer than all that a caller's datagrams are repeated for.
 PATIENCE_SECONDS = 40
 
+# Lines of each process's log that a failed case prints.
+LOG_TAIL_LINES = 40
+
 
 def serving_site(folder, description, kind=Site, **options):
     """A site that is up and whose every service answers."""
@@ -74,10 +79,27 @@
     return faults
 
 
+def print_logs(folder):
+    """The last lines of what every process of the site wrote."""
+    for path in sorted(pathlib.Path(folder).rglob("*")):
+        if path.suffix not in (".log", ".out") or not path.stat().st_size:
+            continue
+        lines = path.read_text(errors="replace").splitlines()
+        left_out = max(0, len(lines) - LOG_TAIL_LINES)
+        print(f"--- {path.name}, {left_out} earlier lines left out")
+        print("\n".join(lines[left_out:]))
+
+
 def run(body):
     """Runs `body(folder)`, which returns the faults it found, and exits."""
     with tempfile.TemporaryDirectory(prefix="cardamomroute-case-") as folder:
-        faults = body(folder)
-    for key, count in faults.items():
-        print(f"NOT KEPT: {key}: {count}")
+        try:
+            faults = body(folder)
+        except Exception as failure:  # pylint: disable=broad-except
+            traceback.print_exc(file=sys.stdout)
+            faults = {f"the case ended early: {failure}": 1}
+        for key, count in faults.items():
+            print(f"NOT KEPT: {key}: {count}")
+        if faults:
+            print_logs(folder)
     sys.exit(1 if faults else 0)
