--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -103,7 +103,7 @@
 log4cplus::SharedAppenderPtr MakeAppender(const log_settings& wanted) {
   log4cplus::SharedAppenderPtr sink;
   if (wanted.file.empty()) {
-    sink = new counted_console(true, true);
+    sink = new counted_console(!wanted.standard_output, true);
   } else {
     sink = new counted_file(wanted.file,
                             static_cast<long>(wanted.rotate_bytes),  // NOLINT
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -27,8 +27,9 @@
   std::string level = "INFO";
   /// Lines are JSON objects instead of key=value.
   bool json = false;
-  /// Standard error when empty.
+  /// Standard error when empty, or standard output.
   std::string file;
+  bool standard_output = false;
   /// Size at which the file is rotated.
   uint64_t rotate_bytes = 64 << 20;
   uint32_t kept_files = 4;
@@ -54,6 +55,10 @@
   /// Nodes that the leader serves itself; the others pull through them. Equal
   /// on all control VMs.
   uint32_t max_direct_nodes = 256;
+  /// Voters that are kept available, odd; 0: as many as there are peers.
+  uint32_t voters = 0;
+  /// Whether the VM may come back on a former state of its disk.
+  bool guards_old_copies = true;
 };
 
 /// Settings of a balancer process.
--- a/src/cardamomroute/control_member.cc
+++ b/src/cardamomroute/control_member.cc
@@ -15,6 +15,9 @@
 
 // As many voters as were first listed, but an odd number.
 size_t WantedVoters(const control_settings& configured) {
+  if (configured.voters != 0) {
+    return configured.voters;
+  }
   const size_t listed = std::max<size_t>(configured.peers.size(), 1);
   return listed % 2 == 1 ? listed : listed - 1;
 }
@@ -97,6 +100,7 @@
   control::raft_options options;
   options.self = self_.id();
   options.run = control::RunOf(storage_.Starts(), seed_);
+  options.guards_old_copies = settings_.control.guards_old_copies;
   return options;
 }
 
--- a/src/cardamomroute/control_member.h
+++ b/src/cardamomroute/control_member.h
@@ -66,6 +66,11 @@
   /// What this member has applied.
   const control::control_state& State() const { return state_; }
 
+  /// The control group as this member knows it.
+  const control::raft_membership& Membership() const {
+    return raft_->Membership();
+  }
+
   /// Hands the leadership away, if this member has it.
   void BeginStop(absl::Time now);
   /// True once this member does not lead.
@@ -76,6 +81,8 @@
   struct pending_operation {
     uint64_t term = 0;
     std::string client;
+    /// The number that the operator's request came with.
+    uint64_t request = 0;
     absl::Time deadline;
   };
 
@@ -129,16 +136,26 @@
               absl::Time now);
   void Members(const std::string& client,
                const inner::operator_request& request, absl::Time now);
+  void PutConfiguration(const std::string& client,
+                        const inner::operator_request& request,
+                        absl::Time now);
+  void ShowConfiguration(const std::string& client,
+                         const inner::operator_request& request,
+                         absl::Time now);
   void Drain(const std::string& client, const inner::operator_request& request,
              absl::Time now);
-  void Await(uint64_t index, const std::string& client, absl::Time now);
+  void Await(uint64_t index, const std::string& client, absl::Time now,
+             uint64_t request = 0);
   void Resolve(uint64_t index, uint64_t term,
                const control::apply_outcome& outcome, absl::Time now);
   void ResolveLost(const pending_operation& operation);
   void ResolveUpTo(uint64_t index);
   void ExpirePending(absl::Time now);
   bool AnswerIfNoLease(const std::string& client, absl::Time now);
-  void Refuse(const std::string& client, const error& refusal);
+  /// Why this member may not speak for the group; nothing where it may.
+  std::optional<error> RefusalWithoutLease(absl::Time now) const;
+  void Refuse(const std::string& client, const error& refusal,
+              uint64_t request = 0);
   void RefuseText(const std::string& client, const std::vector<error>& faults);
   void AnswerOutcome(const std::string& client,
                      const control::submission_outcome& outcome,
--- a/src/cardamomroute/control_member_answers.cc
+++ b/src/cardamomroute/control_member_answers.cc
@@ -35,12 +35,14 @@
     void (control_member::*run)(const std::string&,
                                 const inner::operator_request&, absl::Time);
   };
-  static constexpr std::array<operation_row, 5> kOperations = {
+  static constexpr std::array<operation_row, 7> kOperations = {
       {{"apply", &control_member::Apply},
        {"show", &control_member::Show},
        {"status", &control_member::Status},
        {"members", &control_member::Members},
-       {"drain", &control_member::Drain}}};
+       {"drain", &control_member::Drain},
+       {"put-configuration", &control_member::PutConfiguration},
+       {"show-configuration", &control_member::ShowConfiguration}}};
   for (const operation_row& row : kOperations) {
     if (row.command == request.command()) {
       (this->*row.run)(client, request, now);
@@ -169,11 +171,54 @@
   Await(index.value(), client, now);
 }
 
+// A version that is overtaken is acknowledged by any member that has applied a
+// higher one: it was committed, leader or not.
+void control_member::PutConfiguration(const std::string& client,
+                                      const inner::operator_request& request,
+                                      absl::Time now) {
+  inner::operator_answer answer;
+  answer.set_request(request.request());
+  if (request.configuration().version() <= state_.Configuration()->version()) {
+    answer.set_code(kAccepted);
+    answer.set_version(state_.Configuration()->version());
+    Reply(client, std::move(answer));
+    return;
+  }
+  if (const auto refusal = RefusalWithoutLease(now)) {
+    Refuse(client, *refusal, request.request());
+    return;
+  }
+  inner::command command;
+  *command.mutable_configuration() = request.configuration();
+  const auto index = Propose(command, now);
+  if (!index) {
+    Refuse(client, index.error(), request.request());
+    return;
+  }
+  Await(index.value(), client, now, request.request());
+}
+
+void control_member::ShowConfiguration(const std::string& client,
+                                       const inner::operator_request& request,
+                                       absl::Time now) {
+  if (const auto refusal = RefusalWithoutLease(now)) {
+    Refuse(client, *refusal, request.request());
+    return;
+  }
+  inner::operator_answer answer;
+  answer.set_code(kOk);
+  answer.set_request(request.request());
+  answer.set_version(state_.Configuration()->version());
+  answer.set_document(state_.Configuration()->document());
+  Reply(client, std::move(answer));
+}
+
 void control_member::Await(uint64_t index, const std::string& client,
-                           absl::Time now) {
+                           absl::Time now, uint64_t request) {
   pending_operation operation;
   operation.term = raft_->Term();
   operation.client = client;
+  operation.request = request;
   operation.deadline = now + kCommitTimeout;
   pending_.emplace(index, std::move(operation));
 }
@@ -191,7 +236,10 @@
     } else {
       inner::operator_answer answer;
       answer.set_code(kOk);
-      answer.set_version(state_.View().version);
+      answer.set_version(operation.request != 0
+                             ? state_.Configuration()->version()
+                             : state_.View().version);
+      answer.set_request(operation.request);
       Reply(operation.client, std::move(answer));
     }
   }
@@ -201,14 +249,16 @@
 // Another leader's entry took the place of the operation's. A repeat of a
 // submission may still have been accepted there.
 void control_member::ResolveLost(const pending_operation& operation) {
-  Refuse(operation.client, {error_kind::kNotLeader, "",
-                            "leadership was lost before a majority had it"});
+  Refuse(operation.client,
+         {error_kind::kNotLeader, "",
+          "leadership was lost before a majority had it"},
+         operation.request);
 }
 
 void control_member::ResolveUpTo(uint64_t index) {
   const auto end = pending_.upper_bound(index);
   for (auto entry = pending_.begin(); entry != end; ++entry) {
-    Refuse(entry->second.client, OutcomeUnknown());
+    Refuse(entry->second.client, OutcomeUnknown(), entry->second.request);
   }
   pending_.erase(pending_.begin(), end);
 }
@@ -219,29 +269,37 @@
       ++entry;
       continue;
     }
-    Refuse(entry->second.client, OutcomeUnknown());
+    Refuse(entry->second.client, OutcomeUnknown(), entry->second.request);
     entry = pending_.erase(entry);
   }
 }
 
-bool control_member::AnswerIfNoLease(const std::string& client,
-                                     absl::Time now) {
+std::optional<error> control_member::RefusalWithoutLease(absl::Time now) const {
   if (stalled_) {
-    Refuse(client, {error_kind::kDiskFull, settings_.control.data_folder, ""});
-    return true;
+    return error{error_kind::kDiskFull, settings_.control.data_folder, ""};
   }
   if (leading_term_ != 0 && !stopping_ && raft_->HoldsLease(now)) {
-    return false;
+    return std::nullopt;
   }
   const bool knows_leader = !LeaderAddress().empty();
-  const error_kind kind =
-      knows_leader ? error_kind::kNotLeader : error_kind::kNoQuorum;
-  Refuse(client, {kind, settings_.name, ""});
-  return true;
+  return error{knows_leader ? error_kind::kNotLeader : error_kind::kNoQuorum,
+               settings_.name, ""};
 }
 
-void control_member::Refuse(const std::string& client, const error& refusal) {
-  Reply(client, RefusalAnswer(refusal));
+bool control_member::AnswerIfNoLease(const std::string& client,
+                                     absl::Time now) {
+  const auto refusal = RefusalWithoutLease(now);
+  if (refusal) {
+    Refuse(client, *refusal);
+  }
+  return refusal.has_value();
+}
+
+void control_member::Refuse(const std::string& client, const error& refusal,
+                            uint64_t request) {
+  inner::operator_answer answer = RefusalAnswer(refusal);
+  answer.set_request(request);
+  Reply(client, std::move(answer));
 }
 
 void control_member::RefuseText(const std::string& client,
--- a/src/cardamomroute/control_peers.cc
+++ b/src/cardamomroute/control_peers.cc
@@ -13,6 +13,9 @@
 constexpr int kQueuedMessages = 1000;
 constexpr int kHeartbeatMs = 500;
 constexpr int kHeartbeatTimeoutMs = 1500;
+// A connection that is not there by then is tried anew: its first packet may
+// have been lost, and the kernel repeats that after seconds only.
+constexpr int kConnectTimeoutMs = 400;
 constexpr int kReconnectMs = 50;
 constexpr int kLongestReconnectMs = 500;
 
@@ -37,6 +40,7 @@
   link.set(zmq::sockopt::sndhwm, kQueuedMessages);
   link.set(zmq::sockopt::heartbeat_ivl, kHeartbeatMs);
   link.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
+  link.set(zmq::sockopt::connect_timeout, kConnectTimeoutMs);
   link.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
   link.set(zmq::sockopt::reconnect_ivl_max, kLongestReconnectMs);
   link.connect("tcp://" + address);
--- a/src/cardamomroute/control_shell.cc
+++ b/src/cardamomroute/control_shell.cc
@@ -3,14 +3,16 @@
 #include <sodium.h>
 
 #include <algorithm>
-#include <array>
 #include <chrono>
 #include <utility>
+#include <vector>
 #include <zmq.hpp>
 
 #include "base/log.h"
 #include "cardamomroute/control_member.h"
 #include "cardamomroute/control_peers.h"
+#include "cardamomroute/local_control.h"
+#include "cardamomroute/local_outlet.h"
 #include "cardamomroute/steady_time.h"
 #include "cardamomroute/submission_worker.h"
 #include "control/file_system_posix.h"
@@ -52,8 +54,8 @@
 
 }  // namespace
 
-control_shell::control_shell(const settings& configured)
-    : settings_(configured) {}
+control_shell::control_shell(const settings& configured, local_control* local)
+    : settings_(configured), local_(local) {}
 
 result<void> control_shell::Run() {
   if (sodium_init() < 0) {
@@ -63,11 +65,12 @@
   zmq::socket_t listening(context, zmq::socket_type::router);
   BOOST_OUTCOME_TRYV(Listen(settings_.control.listen, &listening));
   control_peers peers(&context, &listening);
+  local_outlet outlet(&peers, local_);
   submission_worker worker;
-  result<void> served = ServeFolder(&listening, &peers, &worker);
+  result<void> served = ServeFolder(&listening, &outlet, &worker);
   while (!served && served.error().kind == error_kind::kDiskIdentity) {
     // The old copy has been given up; the VM comes back as another member.
-    served = ServeFolder(&listening, &peers, &worker);
+    served = ServeFolder(&listening, &outlet, &worker);
   }
   if (!served) {
     log_line(log_level::kError, "control_failed")
@@ -77,10 +80,10 @@
 }
 
 result<void> control_shell::ServeFolder(zmq::socket_t* listening,
-                                        control_peers* peers,
+                                        local_outlet* outlet,
                                         submission_worker* worker) {
   control::posix_file_system files;
-  BOOST_OUTCOME_TRY(member, control_member::Open(settings_, &files, peers,
+  BOOST_OUTCOME_TRY(member, control_member::Open(settings_, &files, outlet,
                                                  worker, RandomNonZero(),
                                                  RandomNonZero(), SteadyNow()));
   return Serve(listening, worker, member.get());
@@ -92,9 +95,12 @@
   while (!IsDone(member, SteadyNow())) {
     const int wait_ms =
         MillisecondsUntil(member->NextDeadline(), SteadyNow(), kLongestWaitMs);
-    std::array<zmq::pollitem_t, 2> items = {
-        {{listening->handle(), 0, ZMQ_POLLIN, 0},
-         {nullptr, worker->fd(), ZMQ_POLLIN, 0}}};
+    std::vector<zmq::pollitem_t> items = {
+        {listening->handle(), 0, ZMQ_POLLIN, 0},
+        {nullptr, worker->fd(), ZMQ_POLLIN, 0}};
+    if (local_ != nullptr) {
+      items.push_back({nullptr, local_->fd(), ZMQ_POLLIN, 0});
+    }
     try {
       zmq::poll(items.data(), items.size(), std::chrono::milliseconds(wait_ms));
     } catch (const zmq::error_t&) {
@@ -104,7 +110,9 @@
     for (checked_submission& checked : worker->TakeChecked()) {
       member->OnChecked(std::move(checked), SteadyNow());
     }
+    TakeLocalRequests(member);
     BOOST_OUTCOME_TRYV(member->Advance(SteadyNow()));
+    Publish(*member);
   }
   return outcome::success();
 }
@@ -129,6 +137,24 @@
   }
 }
 
+void control_shell::TakeLocalRequests(control_member* member) {
+  if (local_ == nullptr) {
+    return;
+  }
+  inner::control_request request;
+  for (inner::operator_request& operation : local_->TakeRequests()) {
+    *request.mutable_operation() = std::move(operation);
+    member->OnRequest(kLocalClient, request, SteadyNow());
+  }
+}
+
+void control_shell::Publish(const control_member& member) {
+  if (local_ != nullptr) {
+    local_->Publish(member.State().Configuration(),
+                    member.Membership().ToRecord().members());
+  }
+}
+
 bool control_shell::IsDone(control_member* member, absl::Time now) {
   if (!stopped_.load()) {
     return false;
--- a/src/cardamomroute/datagram_batch.h
+++ b/src/cardamomroute/datagram_batch.h
@@ -10,6 +10,7 @@
 
 #include "absl/types/span.h"
 #include "base/endpoint.h"
+#include "inner/packet_codec.h"
 
 namespace cardamomroute {
 
@@ -17,8 +18,10 @@
 /// (recvmmsg, sendmmsg).
 class datagram_batch {
  public:
-  /// Room for `capacity` datagrams.
-  explicit datagram_batch(size_t capacity);
+  /// Room for `capacity` datagrams of `datagram_bytes` that come in; longer
+  /// ones are cut.
+  explicit datagram_batch(size_t capacity,
+                          size_t datagram_bytes = inner::kLargestDatagram);
   datagram_batch(const datagram_batch&) = delete;
   datagram_batch& operator=(const datagram_batch&) = delete;
 
@@ -41,15 +44,19 @@
  private:
   friend class udp_socket;
 
-  /// Points the kernel's structures at the buffers.
-  void PrepareReceive();
-  void FinishReceive(size_t received);
-  void PrepareSend();
+  /// Points the kernel's structures at the buffers, for a socket of `family`.
+  void PrepareReceive(sa_family_t family);
+  void FinishReceive(sa_family_t family, size_t received);
+  void PrepareSend(sa_family_t family);
+  void PointAt(sa_family_t family, size_t index);
 
+  const size_t datagram_bytes_;
   size_t used_ = 0;
   std::vector<std::vector<uint8_t>> buffers_;
   std::vector<size_t> lengths_;
   std::vector<sockaddr_in6> addresses_;
+  /// The same for an IPv4 socket, while the kernel has them.
+  std::vector<sockaddr_in> ipv4_addresses_;
   std::vector<iovec> vectors_;
   std::vector<mmsghdr> messages_;
 };
--- a/src/cardamomroute/event_loop.cc
+++ b/src/cardamomroute/event_loop.cc
@@ -43,6 +43,29 @@
 void event_loop::Unwatch(int fd) {
   epoll_ctl(epoll_fd_, EPOLL_CTL_DEL, fd, nullptr);
   readers_.erase(fd);
+  writers_.erase(fd);
+}
+
+void event_loop::AwaitWritable(int fd, std::function<void()> on_writable) {
+  epoll_event event{};
+  event.events = EPOLLIN | EPOLLOUT;
+  event.data.fd = fd;
+  epoll_ctl(epoll_fd_, EPOLL_CTL_MOD, fd, &event);
+  writers_[fd] = std::move(on_writable);
+}
+
+void event_loop::HandleWritable(int fd) {
+  const auto writer = writers_.find(fd);
+  if (writer == writers_.end()) {
+    return;
+  }
+  const std::function<void()> handle = std::move(writer->second);
+  writers_.erase(writer);
+  epoll_event event{};
+  event.events = EPOLLIN;
+  event.data.fd = fd;
+  epoll_ctl(epoll_fd_, EPOLL_CTL_MOD, fd, &event);
+  handle();
 }
 
 void event_loop::OnTick(std::function<absl::Time()> on_tick) {
@@ -63,6 +86,12 @@
   const int count =
       epoll_wait(epoll_fd_, events.data(), kEventsPerRound, wait_ms);
   for (int i = 0; i < count; ++i) {
+    if ((events.at(i).events & EPOLLOUT) != 0) {
+      HandleWritable(events.at(i).data.fd);
+    }
+    if ((events.at(i).events & ~EPOLLOUT) == 0) {
+      continue;
+    }
     // A handler may take away readers whose events are still in the list.
     const auto reader = readers_.find(events.at(i).data.fd);
     if (reader != readers_.end()) {
--- a/src/cardamomroute/event_loop.h
+++ b/src/cardamomroute/event_loop.h
@@ -22,6 +22,10 @@
   void Watch(int fd, std::function<void()> on_readable);
   void Unwatch(int fd);
 
+  /// Calls `on_writable` once `fd`, which is watched, takes more bytes; not
+  /// again after that.
+  void AwaitWritable(int fd, std::function<void()> on_writable);
+
   /// Calls `on_tick` after each round of events and when the deadline that
   /// it returned last has come.
   void OnTick(std::function<absl::Time()> on_tick);
@@ -37,11 +41,13 @@
 
  private:
   void HandleRound(absl::Time deadline);
+  void HandleWritable(int fd);
 
   int epoll_fd_;
   int wake_fd_;
   std::atomic<bool> stopped_{false};
   absl::flat_hash_map<int, std::function<void()>> readers_;
+  absl::flat_hash_map<int, std::function<void()>> writers_;
   std::function<absl::Time()> on_tick_;
 };
 
--- a/src/cardamomroute/socket_address.cc
+++ b/src/cardamomroute/socket_address.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "base/ipv4_address.h"
+
 namespace cardamomroute {
 
 sockaddr_in6 ToSocketAddress(const endpoint& value) {
@@ -22,4 +24,21 @@
   return value;
 }
 
+sockaddr_in ToIpv4SocketAddress(const endpoint& value) {
+  const ipv4_address narrow = ToIpv4(value);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(narrow.port);
+  address.sin_addr.s_addr = htonl(narrow.ip);
+  return address;
+}
+
+endpoint FromSocketAddress(const sockaddr_in& address) {
+  return ToEndpoint({ntohl(address.sin_addr.s_addr), ntohs(address.sin_port)});
+}
+
+sa_family_t FamilyOf(const endpoint& value) {
+  return IsIpv4(value) ? AF_INET : AF_INET6;
+}
+
 }  // namespace cardamomroute
--- a/src/cardamomroute/steady_time.cc
+++ b/src/cardamomroute/steady_time.cc
@@ -9,7 +9,7 @@
 
 absl::Time SteadyNow() {
   timespec now{};
-  clock_gettime(CLOCK_MONOTONIC, &now);
+  clock_gettime(CLOCK_BOOTTIME, &now);
   return absl::TimeFromTimespec(now);
 }
 
--- a/src/cardamomroute/steady_time.h
+++ b/src/cardamomroute/steady_time.h
@@ -5,8 +5,8 @@
 
 namespace cardamomroute {
 
-/// Now, on the machine's monotonic clock. Comparable only within one run of
-/// the machine.
+/// Now, on a clock that never goes back and also counts the time for which the
+/// machine was suspended. Comparable only within one run of the machine.
 absl::Time SteadyNow();
 
 /// Milliseconds from `now` to `deadline`, rounded up, at least 0 and at most
--- a/src/cardamomroute/stop_signal.cc
+++ b/src/cardamomroute/stop_signal.cc
@@ -10,11 +10,15 @@
 namespace cardamomroute {
 namespace {
 
+// sigtimedwait takes no longer one everywhere.
+constexpr absl::Duration kLongestSignalWait = absl::Hours(1);
+
 sigset_t StopSignals() {
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   return signals;
 }
 
@@ -26,17 +30,28 @@
 }
 
 void WaitForStopSignal() {
-  const sigset_t signals = StopSignals();
-  int received = 0;
-  sigwait(&signals, &received);
+  while (WaitForSignal(absl::InfiniteFuture()) != process_signal::kStop) {
+  }
 }
 
 bool WaitForStopSignal(absl::Time deadline) {
+  process_signal received = process_signal::kReload;
+  while (received == process_signal::kReload) {
+    received = WaitForSignal(deadline);
+  }
+  return received == process_signal::kStop;
+}
+
+process_signal WaitForSignal(absl::Time deadline) {
   const sigset_t signals = StopSignals();
-  const absl::Duration left =
-      std::max(deadline - SteadyNow(), absl::ZeroDuration());
+  const absl::Duration left = std::clamp(
+      deadline - SteadyNow(), absl::ZeroDuration(), kLongestSignalWait);
   const timespec wait = absl::ToTimespec(left);
-  return sigtimedwait(&signals, nullptr, &wait) > 0;
+  const int received = sigtimedwait(&signals, nullptr, &wait);
+  if (received <= 0) {
+    return process_signal::kNone;
+  }
+  return received == SIGHUP ? process_signal::kReload : process_signal::kStop;
 }
 
 }  // namespace cardamomroute
--- a/src/cardamomroute/udp_socket.h
+++ b/src/cardamomroute/udp_socket.h
@@ -1,6 +1,8 @@
 #ifndef CARDAMOMROUTE_CARDAMOMROUTE_UDP_SOCKET_H_
 #define CARDAMOMROUTE_CARDAMOMROUTE_UDP_SOCKET_H_
 
+#include <netinet/in.h>
+
 #include <cstddef>
 #include <cstdint>
 #include <vector>
@@ -54,9 +56,11 @@
   bool TakeRefused();
 
  private:
-  explicit udp_socket(int fd) : fd_(fd) {}
+  explicit udp_socket(sa_family_t family);
 
   int fd_ = -1;
+  /// AF_INET where it is bound or connected to an IPv4 address.
+  sa_family_t family_ = AF_INET6;
   bool refused_ = false;
 };
 
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -54,10 +54,22 @@
       view_.Commit(index);
     }
   }
+  if (command.has_configuration()) {
+    applied.configuration_changed = PutConfiguration(command.configuration());
+  }
   applied.view_changed = View().version == index;
   return applied;
 }
 
+bool control_state::PutConfiguration(
+    const inner::configuration_record& wanted) {
+  if (wanted.version() <= configuration_->version()) {
+    return false;
+  }
+  configuration_ = std::make_shared<const inner::configuration_record>(wanted);
+  return true;
+}
+
 submission_outcome control_state::Submit(uint64_t index,
                                          const inner::submit_text& submission) {
   const auto earlier = submissions_.Recall(submission);
@@ -224,6 +236,9 @@
   snapshot.set_time_ms(absl::ToUnixMillis(latest_time_));
   snapshot.set_next_service(next_service_);
   snapshot.set_group_begin(group_begin_);
+  if (configuration_->version() != 0) {
+    *snapshot.mutable_configuration() = *configuration_;
+  }
   *snapshot.mutable_view() = view_.Whole();
   nodes_.Save(&snapshot);
   submissions_.Save(&snapshot);
@@ -242,6 +257,8 @@
   latest_time_ = absl::FromUnixMillis(snapshot.time_ms());
   next_service_ = std::max<service_id>(snapshot.next_service(), 1);
   group_begin_ = snapshot.group_begin();
+  configuration_ = std::make_shared<const inner::configuration_record>(
+      snapshot.configuration());
   nodes_.Restore(snapshot, View());
   submissions_.Restore(snapshot);
   quarantine_.Restore(snapshot);
--- a/src/control/control_state.h
+++ b/src/control/control_state.h
@@ -2,6 +2,7 @@
 #define CARDAMOMROUTE_CONTROL_CONTROL_STATE_H_
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -30,8 +31,14 @@
   std::optional<submission_outcome> submission;
   /// The view has a new version: the entry's index.
   bool view_changed = false;
+  /// The routes have changed.
+  bool configuration_changed = false;
 };
 
+/// Routes are shared with those who serve them to nodes.
+using shared_configuration =
+    std::shared_ptr<const inner::configuration_record>;
+
 /// The text in force.
 struct text_in_force {
   /// Index of the entry that was accepted; 0 before the first text.
@@ -68,6 +75,9 @@
   uint64_t GroupBegin() const { return group_begin_; }
 
   const text_in_force& Text() const { return text_; }
+  /// The routes in force with the operator's number, which only rises; version
+  /// 0 before the first. Never null.
+  const shared_configuration& Configuration() const { return configuration_; }
   const view& View() const { return view_.Present(); }
   const node_table& Nodes() const { return nodes_; }
   /// Highest time stamp of the entries applied.
@@ -107,7 +117,11 @@
                       const inner::service_definition& definition,
                       const service_ids& ids) const;
 
+  bool PutConfiguration(const inner::configuration_record& wanted);
+
   text_in_force text_;
+  shared_configuration configuration_ =
+      std::make_shared<const inner::configuration_record>();
   versioned_view view_;
   node_table nodes_;
   submission_memory submissions_;
--- a/src/control/raft_core_disk.cc
+++ b/src/control/raft_core_disk.cc
@@ -122,7 +122,10 @@
 /// How many unverified voters a quorum does not count. Two voters stand no
 /// loss at all, so there is nothing that they could be guarded against.
 size_t raft_core::Doubted() const {
-  return Membership().VoterCount() <= 2 || HasLostVoter() ? 0 : 1;
+  return !options_.guards_old_copies || Membership().VoterCount() <= 2 ||
+                 HasLostVoter()
+             ? 0
+             : 1;
 }
 
 bool raft_core::IsElectedBy(
--- a/src/control/raft_options.h
+++ b/src/control/raft_options.h
@@ -53,6 +53,10 @@
   /// This run of the process on that disk, see RunOf(). The first run of a
   /// disk has nothing that an old copy could have lost.
   uint64_t run = 0;
+  /// Whether a disk may turn out to be an old copy of itself. Where VMs cannot
+  /// come back on a former state of their disk, voters that start again count
+  /// at once.
+  bool guards_old_copies = true;
   size_t append_bytes = kAppendBytes;
   size_t snapshot_piece_bytes = kSnapshotPieceBytes;
   size_t retained_log_bytes = kRetainedLogBytes;
--- /dev/null
+++ b/src/directory/directory_follower.cc
@@ -0,0 +1,204 @@
+#include "directory/directory_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/log.h"
+
+namespace cardamomroute {
+
+directory_follower::directory_follower(std::vector<ipv4_address> seeds,
+                                       uint64_t seed)
+    : contacts_(std::move(seeds)), next_poll_(seed | 1) {}
+
+// Members that are not contacted any more have no say.
+void directory_follower::NoteMembers(absl::Time now) {
+  const std::vector<ipv4_address> all = contacts_.All(now);
+  for (auto known = members_.begin(); known != members_.end();) {
+    if (std::binary_search(all.begin(), all.end(), known->first)) {
+      ++known;
+    } else {
+      known = members_.erase(known);
+      list_changed_ = true;
+    }
+  }
+  for (const ipv4_address& address : all) {
+    members_[address];
+  }
+}
+
+std::vector<due_poll> directory_follower::Due(absl::Time now) {
+  std::vector<due_poll> due;
+  if (now < next_) {
+    return due;
+  }
+  NoteMembers(now);
+  next_ = now + kPollTimeout;
+  for (auto& [address, asked] : members_) {
+    if (asked.answers && now >= asked.heard_at + kMemberSay) {
+      asked.answers = false;
+      list_changed_ = true;
+      log_line(log_level::kWarn, "control_member_lost")
+          .With("member", ToString(ToEndpoint(address)));
+    }
+    if (now < asked.due) {
+      next_ = std::min(next_, asked.due);
+      continue;
+    }
+    asked.poll = next_poll_ += 2;
+    asked.due = now + kPollTimeout;
+    due_poll& sent = due.emplace_back();
+    sent.to = address;
+    sent.poll.set_poll(asked.poll);
+    sent.poll.set_member_run(asked.run);
+    sent.poll.set_directory_version(asked.version);
+    sent.poll.set_configuration_version(routes_.version);
+    sent.poll.set_partial_version(partial_version_);
+    sent.poll.set_partial_bytes(static_cast<uint32_t>(partial_.size()));
+  }
+  return due;
+}
+
+void directory_follower::OnPage(const ipv4_address& from,
+                                const inner::directory_page& page,
+                                absl::Time now) {
+  const auto found = members_.find(from);
+  if (found == members_.end() || page.poll() != found->second.poll) {
+    return;
+  }
+  member& teller = found->second;
+  teller.poll = 0;
+  teller.heard_at = now;
+  if (!teller.answers) {
+    teller.answers = true;
+    list_changed_ = true;
+    log_line(log_level::kInfo, "control_member_answers")
+        .With("member", ToString(ToEndpoint(from)))
+        .With("configuration", page.configuration_version());
+  }
+  contacts_.OnNamed(page.members(), now);
+  TakeUpstreams(page, &teller);
+  const bool more = TakeRoutes(page) || page.more();
+  teller.due = more ? now : now + kPollInterval;
+  next_ = std::min(next_, teller.due);
+}
+
+void directory_follower::TakeUpstreams(const inner::directory_page& page,
+                                       member* teller) {
+  if (page.from_start()) {
+    teller->upstreams.clear();
+    list_changed_ = true;
+  }
+  teller->run = page.member_run();
+  teller->version = page.directory_version();
+  for (const inner::upstream_record& record : page.upstreams()) {
+    const inner::announcement& announced = record.announced();
+    const ipv4_address agent{announced.ip(),
+                             static_cast<uint16_t>(announced.port())};
+    if (record.gone()) {
+      teller->upstreams.erase(agent);
+    } else {
+      teller->upstreams[agent] = record;
+    }
+    list_changed_ = true;
+  }
+  has_list_ = has_list_ || !page.more();
+}
+
+// True where more of them is to be asked for at once.
+bool directory_follower::TakeRoutes(const inner::directory_page& page) {
+  if (page.configuration_version() <= routes_.version) {
+    return false;
+  }
+  if (page.configuration_version() > partial_version_ &&
+      page.routes_offset() == 0) {
+    partial_version_ = page.configuration_version();
+    partial_.clear();
+  }
+  if (page.configuration_version() != partial_version_ ||
+      page.routes_offset() != partial_.size()) {
+    return page.configuration_version() >= partial_version_;
+  }
+  partial_ += page.routes();
+  if (partial_.size() < page.routes_total()) {
+    return true;
+  }
+  inner::route_list list;
+  if (!list.ParseFromString(partial_)) {
+    log_line(log_level::kError, "routes_unreadable")
+        .With("version", partial_version_);
+    partial_version_ = routes_.version;
+    partial_.clear();
+    return false;
+  }
+  routes_ = {partial_version_, std::move(list)};
+  routes_changed_ = true;
+  partial_.clear();
+  return false;
+}
+
+const followed_routes* directory_follower::TakeNewRoutes() {
+  return std::exchange(routes_changed_, false) ? &routes_ : nullptr;
+}
+
+std::optional<std::vector<known_upstream>> directory_follower::TakeNewUpstreams() {
+  if (!std::exchange(list_changed_, false)) {
+    return std::nullopt;
+  }
+  std::vector<known_upstream> merged = Merge();
+  if (merged == upstreams_) {
+    return std::nullopt;
+  }
+  upstreams_ = merged;
+  return merged;
+}
+
+// The latest announcement that any member has; silent where no member that
+// answers has heard it lately.
+std::vector<known_upstream> directory_follower::Merge() const {
+  struct best {
+    const inner::announcement* announced = nullptr;
+    bool heard = false;
+  };
+  const bool any_answers =
+      std::any_of(members_.begin(), members_.end(),
+                  [](const auto& entry) { return entry.second.answers; });
+  absl::btree_map<ipv4_address, best> latest;
+  for (const auto& [address, teller] : members_) {
+    if (any_answers && !teller.answers) {
+      continue;
+    }
+    for (const auto& [agent, record] : teller.upstreams) {
+      best& known = latest[agent];
+      const inner::announcement& told = record.announced();
+      const bool is_later =
+          known.announced == nullptr ||
+          (!known.heard && !record.silent()) ||
+          (known.heard == !record.silent() &&
+           std::make_pair(told.incarnation(), told.sequence()) >
+               std::make_pair(known.announced->incarnation(),
+                              known.announced->sequence()));
+      if (is_later) {
+        known.announced = &told;
+      }
+      known.heard = known.heard || !record.silent();
+    }
+  }
+  std::vector<known_upstream> merged;
+  merged.reserve(latest.size());
+  for (const auto& [agent, known] : latest) {
+    known_upstream& item = merged.emplace_back();
+    item.agent = agent;
+    item.service = known.announced->service();
+    item.zone = known.announced->zone();
+    item.state = known.announced->state() <=
+                         static_cast<uint32_t>(upstream_state::kDraining)
+                     ? static_cast<upstream_state>(known.announced->state())
+                     : upstream_state::kAbsent;
+    item.slots = std::max<uint32_t>(known.announced->slots(), 1);
+    item.silent = !known.heard;
+  }
+  return merged;
+}
+
+}  // namespace cardamomroute
--- /dev/null
+++ b/src/directory/directory_follower.h
@@ -0,0 +1,108 @@
+#ifndef CARDAMOMROUTE_DIRECTORY_DIRECTORY_FOLLOWER_H_
+#define CARDAMOMROUTE_DIRECTORY_DIRECTORY_FOLLOWER_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/container/btree_map.h"
+#include "absl/time/time.h"
+#include "base/ipv4_address.h"
+#include "directory/control_contacts.h"
+#include "directory/known_upstream.h"
+#include "inner/configuration.pb.h"
+#include "inner/directory.pb.h"
+
+namespace cardamomroute {
+
+/// How often a balancer asks each member of the control group.
+inline constexpr absl::Duration kPollInterval = absl::Milliseconds(250);
+
+/// When an unanswered poll is repeated.
+inline constexpr absl::Duration kPollTimeout = absl::Milliseconds(300);
+
+/// A member that has not answered for this long has no say about who is
+/// silent, unless no other one answers either.
+inline constexpr absl::Duration kMemberSay = absl::Seconds(2);
+
+/// A poll and the member that it goes to.
+struct due_poll {
+  ipv4_address to;
+  inner::directory_poll poll;
+};
+
+/// The routes in force, as far as a balancer knows.
+struct followed_routes {
+  /// The operator's number; 0 before the first.
+  uint64_t version = 0;
+  inner::route_list list;
+};
+
+/// What a balancer knows of upstreams and routes, put together from what the
+/// members of the control group say. Routes only go forward: each member says
+/// what has been committed, so the highest version is the newest.
+class directory_follower {
+ public:
+  /// `seed` makes its polls differ from those of other processes.
+  directory_follower(std::vector<ipv4_address> seeds, uint64_t seed);
+
+  void OnSeeds(std::vector<ipv4_address> seeds) {
+    contacts_.OnSeeds(std::move(seeds));
+  }
+
+  std::vector<due_poll> Due(absl::Time now);
+  /// When Due has something, unless an answer comes.
+  absl::Time NextDeadline() const { return next_; }
+
+  /// An answer of a member; one that was not asked for is ignored.
+  void OnPage(const ipv4_address& from, const inner::directory_page& page,
+              absl::Time now);
+
+  /// Null while they have not changed since the last call.
+  const followed_routes* TakeNewRoutes();
+
+  /// The upstreams, sorted by agent; nothing while they are as they were at the
+  /// last call.
+  std::optional<std::vector<known_upstream>> TakeNewUpstreams();
+
+  /// True once it knows routes and a member's whole list of upstreams.
+  bool IsComplete() const { return routes_.version != 0 && has_list_; }
+
+  uint64_t routes_version() const { return routes_.version; }
+
+ private:
+  struct member {
+    uint64_t run = 0;
+    uint64_t version = 0;
+    /// Of the poll under way; 0 where none is.
+    uint64_t poll = 0;
+    absl::Time due = absl::InfinitePast();
+    absl::Time heard_at = absl::InfinitePast();
+    bool answers = false;
+    absl::btree_map<ipv4_address, inner::upstream_record> upstreams;
+  };
+
+  void TakeUpstreams(const inner::directory_page& page, member* teller);
+  bool TakeRoutes(const inner::directory_page& page);
+  std::vector<known_upstream> Merge() const;
+  void NoteMembers(absl::Time now);
+
+  control_contacts contacts_;
+  uint64_t next_poll_;
+  absl::Time next_ = absl::InfinitePast();
+  absl::btree_map<ipv4_address, member> members_;
+  bool has_list_ = false;
+  bool list_changed_ = false;
+  std::vector<known_upstream> upstreams_;
+
+  followed_routes routes_;
+  bool routes_changed_ = false;
+  /// The beginning of the routes of a version that is newer.
+  uint64_t partial_version_ = 0;
+  std::string partial_;
+};
+
+}  // namespace cardamomroute
+
+#endif  // CARDAMOMROUTE_DIRECTORY_DIRECTORY_FOLLOWER_H_
--- /dev/null
+++ b/src/directory/node_directory.cc
@@ -0,0 +1,143 @@
+#include "directory/node_directory.h"
+
+#include <algorithm>
+
+#include "base/log.h"
+
+namespace cardamomroute {
+namespace {
+
+bool IsSame(const inner::announcement& a, const inner::announcement& b) {
+  return a.incarnation() == b.incarnation() && a.state() == b.state() &&
+         a.slots() == b.slots() && a.service() == b.service() &&
+         a.zone() == b.zone();
+}
+
+// An earlier process at the address, or a message that was overtaken.
+bool IsLate(const inner::announcement& announced,
+            const inner::announcement& known) {
+  return announced.incarnation() < known.incarnation() ||
+         (announced.incarnation() == known.incarnation() &&
+          announced.sequence() <= known.sequence());
+}
+
+}  // namespace
+
+void node_directory::OnMembers(const std::vector<ipv4_address>& members) {
+  members_.Clear();
+  for (const ipv4_address& member : members) {
+    inner::control_address* named = members_.Add();
+    named->set_ip(member.ip);
+    named->set_port(member.port);
+  }
+}
+
+inner::announcement_answer node_directory::OnAnnouncement(
+    const inner::announcement& announced, absl::Time now) {
+  inner::announcement_answer answer;
+  answer.set_incarnation(announced.incarnation());
+  answer.set_sequence(announced.sequence());
+  *answer.mutable_members() = members_;
+  record& known = records_[{announced.ip(),
+                            static_cast<uint16_t>(announced.port())}];
+  const bool is_new = known.version == 0;
+  // The clock that incarnations come from may have gone back: a process that
+  // is heard takes over from one that is silent.
+  if (!is_new && !known.upstream.silent() &&
+      IsLate(announced, known.upstream.announced())) {
+    return answer;
+  }
+  known.heard_at = now;
+  if (is_new || known.upstream.silent() ||
+      !IsSame(announced, known.upstream.announced())) {
+    known.version = ++version_;
+    log_line(log_level::kInfo, "upstream_announced")
+        .With("node", announced.node())
+        .With("service", announced.service())
+        .With("incarnation", announced.incarnation())
+        .With("sequence", announced.sequence())
+        .With("state", announced.state())
+        .With("directory_version", version_);
+  }
+  *known.upstream.mutable_announced() = announced;
+  known.upstream.set_silent(false);
+  known.upstream.set_gone(false);
+  return answer;
+}
+
+void node_directory::NoteSilent(absl::Time now) {
+  for (auto entry = records_.begin(); entry != records_.end();) {
+    record& known = entry->second;
+    if (!known.upstream.silent() &&
+        now >= known.heard_at + kAnnouncementLease) {
+      known.upstream.set_silent(true);
+      known.version = ++version_;
+      log_line(log_level::kInfo, "upstream_silent")
+          .With("node", known.upstream.announced().node())
+          .With("service", known.upstream.announced().service())
+          .With("directory_version", version_);
+    }
+    if (!known.upstream.gone() && now >= known.heard_at + kSilentLife) {
+      known.upstream.set_gone(true);
+      known.version = ++version_;
+    }
+    if (now >= known.heard_at + 2 * kSilentLife) {
+      forgotten_version_ = std::max(forgotten_version_, known.version);
+      entry = records_.erase(entry);
+    } else {
+      ++entry;
+    }
+  }
+}
+
+// Oldest changes first, so that a balancer that got a part goes on from there.
+void node_directory::AddUpstreams(uint64_t have,
+                                  inner::directory_page* page) const {
+  std::vector<const record*> newer;
+  for (const auto& [address, known] : records_) {
+    if (known.version > have) {
+      newer.push_back(&known);
+    }
+  }
+  std::sort(newer.begin(), newer.end(), [](const record* a, const record* b) {
+    return a->version < b->version;
+  });
+  size_t bytes = 0;
+  page->set_directory_version(version_);
+  for (const record* known : newer) {
+    bytes += known->upstream.ByteSizeLong();
+    if (bytes > kPageUpstreamBytes && page->upstreams_size() > 0) {
+      page->set_more(true);
+      return;
+    }
+    *page->add_upstreams() = known->upstream;
+    page->set_directory_version(known->version);
+  }
+  page->set_directory_version(version_);
+}
+
+inner::directory_page node_directory::OnPoll(
+    const inner::directory_poll& poll,
+    const inner::configuration_record& in_force, absl::Time now) {
+  NoteSilent(now);
+  inner::directory_page page;
+  page.set_poll(poll.poll());
+  page.set_member_run(run_);
+  *page.mutable_members() = members_;
+  page.set_from_start(poll.member_run() != run_ ||
+                      poll.directory_version() < forgotten_version_);
+  AddUpstreams(page.from_start() ? 0 : poll.directory_version(), &page);
+  page.set_configuration_version(in_force.version());
+  if (poll.configuration_version() < in_force.version()) {
+    const size_t total = in_force.routes().size();
+    const size_t offset = poll.partial_version() == in_force.version()
+                              ? std::min<size_t>(poll.partial_bytes(), total)
+                              : 0;
+    page.set_routes_offset(static_cast<uint32_t>(offset));
+    page.set_routes_total(static_cast<uint32_t>(total));
+    page.set_routes(in_force.routes().substr(offset, kPageRoutesBytes));
+  }
+  return page;
+}
+
+}  // namespace cardamomroute
--- /dev/null
+++ b/src/directory/node_directory.h
@@ -0,0 +1,75 @@
+#ifndef CARDAMOMROUTE_DIRECTORY_NODE_DIRECTORY_H_
+#define CARDAMOMROUTE_DIRECTORY_NODE_DIRECTORY_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "absl/container/btree_map.h"
+#include "absl/time/time.h"
+#include "base/ipv4_address.h"
+#include "directory/announcer.h"
+#include "inner/configuration.pb.h"
+#include "inner/directory.pb.h"
+
+namespace cardamomroute {
+
+/// An agent that was not heard for this long is silent: three announcements
+/// and a network delay.
+inline constexpr absl::Duration kAnnouncementLease =
+    absl::Milliseconds(1800);
+
+/// A silent agent is gone after this time, the life of a flow: until then its
+/// upstream may still hold flows. Balancers are told for as long again.
+inline constexpr absl::Duration kSilentLife = absl::Seconds(60);
+
+/// Bytes of upstreams and of routes in one page, so that it fits a datagram of
+/// 1280 bytes, the smallest MTU of IPv6 (RFC 8200, section 5).
+inline constexpr size_t kPageUpstreamBytes = 600;
+inline constexpr size_t kPageRoutesBytes = 500;
+
+/// What one member of the control group has heard of agents. It is not stored
+/// and not agreed upon: balancers ask several members and take what any of
+/// them has heard. So upstreams come and go also while the group has no leader.
+class node_directory {
+ public:
+  /// `run` is another one at each start of the process and not 0.
+  explicit node_directory(uint64_t run) : run_(run) {}
+
+  /// The members of the group that answers name.
+  void OnMembers(const std::vector<ipv4_address>& members);
+
+  inner::announcement_answer OnAnnouncement(
+      const inner::announcement& announced, absl::Time now);
+
+  /// The answer to a poll, with a piece of the routes in force here where the
+  /// balancer has an older version.
+  inner::directory_page OnPoll(const inner::directory_poll& poll,
+                               const inner::configuration_record& in_force,
+                               absl::Time now);
+
+  size_t size() const { return records_.size(); }
+
+ private:
+  struct record {
+    inner::upstream_record upstream;
+    absl::Time heard_at;
+    /// Version at which it changed last.
+    uint64_t version = 0;
+  };
+
+  void NoteSilent(absl::Time now);
+  void AddUpstreams(uint64_t have, inner::directory_page* page) const;
+
+  const uint64_t run_;
+  uint64_t version_ = 1;
+  /// Changes up to this version include records that are not kept any more.
+  uint64_t forgotten_version_ = 0;
+  absl::btree_map<ipv4_address, record> records_;
+  google::protobuf::RepeatedPtrField<inner::control_address> members_;
+};
+
+}  // namespace cardamomroute
+
+#endif  // CARDAMOMROUTE_DIRECTORY_NODE_DIRECTORY_H_
--- /dev/null
+++ b/src/directory/upstream_state.h
@@ -0,0 +1,24 @@
+#ifndef CARDAMOMROUTE_DIRECTORY_UPSTREAM_STATE_H_
+#define CARDAMOMROUTE_DIRECTORY_UPSTREAM_STATE_H_
+
+#include <cstdint>
+#include <string_view>
+
+namespace cardamomroute {
+
+/// What an agent knows of the upstream beside it.
+enum class upstream_state : uint8_t {
+  /// Not started, gone, or silent.
+  kAbsent,
+  /// Takes new flows.
+  kServing,
+  /// Keeps its flows and is to get no new ones.
+  kDraining,
+};
+
+/// "absent", "serving" or "draining".
+std::string_view NameOf(upstream_state state);
+
+}  // namespace cardamomroute
+
+#endif  // CARDAMOMROUTE_DIRECTORY_UPSTREAM_STATE_H_
--- /dev/null
+++ b/src/flows/flow_agent.cc
@@ -0,0 +1,276 @@
+#include "flows/flow_agent.h"
+
+#include <algorithm>
+#include <string>
+
+#include "base/log.h"
+#include "flows/agent_outlet.h"
+
+namespace cardamomroute {
+namespace {
+
+constexpr absl::Duration kSweepInterval = absl::Seconds(1);
+
+absl::Span<const uint8_t> BytesOf(const std::string& bytes) {
+  return {reinterpret_cast<const uint8_t*>(bytes.data()), bytes.size()};
+}
+
+}  // namespace
+
+flow_agent::flow_agent(uint64_t service, agent_outlet* outlet)
+    : service_(service), outlet_(outlet) {}
+
+void flow_agent::OnUpstream(upstream_state state, uint32_t slots,
+                            bool heard_from_start) {
+  load_changed_ = load_changed_ || state != state_ || slots != slots_;
+  state_ = state;
+  slots_ = slots;
+  heard_from_start_ = heard_from_start;
+}
+
+void flow_agent::OnCarried(const ipv4_address& balancer,
+                           const inner::carried_packet& carried,
+                           const flow_packet& packet, absl::Time now) {
+  balancers_[balancer] = now;
+  const flow_id flow = FlowFromCaller(packet);
+  if (carried.service() != service_) {
+    HandBack(balancer, carried.attempt(), BytesOf(carried.packet()),
+             inner::RETURN_OTHER_SERVICE);
+    return;
+  }
+  if (packet.opening) {
+    OnOpening(balancer, carried, flow, now);
+    return;
+  }
+  const auto found = flows_.find(flow);
+  if (found == flows_.end()) {
+    if (heard_from_start_) {
+      HandBack(balancer, carried.attempt(), BytesOf(carried.packet()),
+               inner::RETURN_NOT_HELD);
+    } else {
+      Deliver(balancer, carried);
+    }
+    return;
+  }
+  held_flow& held = found->second;
+  if (!IsOfThisFlow(held, packet)) {
+    HandBack(balancer, carried.attempt(), BytesOf(carried.packet()),
+             inner::RETURN_NOT_HELD);
+    return;
+  }
+  if (held.balancer != balancer) {
+    held.balancer = balancer;
+    Notify(balancer, flow);
+  }
+  if (packet.length > 0) {
+    SetBusy(&held, true);
+  }
+  held.caller_finished =
+      held.caller_finished || packet.finishing || packet.resetting;
+  held.upstream_finished = held.upstream_finished || packet.resetting;
+  NoteEnd(&held, now);
+  Deliver(balancer, carried);
+}
+
+void flow_agent::OnOpening(const ipv4_address& balancer,
+                           const inner::carried_packet& carried,
+                           const flow_id& flow, absl::Time now) {
+  if (state_ != upstream_state::kServing) {
+    log_line(log_level::kInfo, "opening_handed_back")
+        .With("flow", ToString(flow))
+        .With("upstream", NameOf(state_));
+    HandBack(balancer, carried.attempt(), BytesOf(carried.packet()),
+             inner::RETURN_NO_NEW_FLOWS);
+    return;
+  }
+  if (const auto former = flows_.find(flow);
+      former != flows_.end() && former->second.over) {
+    Forget(former);
+  }
+  held_flow& held = FindOrAdd(flow);
+  held.balancer = balancer;
+  held.forget_at = now + kHeldFlowLife;
+  Deliver(balancer, carried);
+}
+
+// Two upstreams may have answered the opening of a flow. The caller's next
+// packet says which answer it took.
+bool flow_agent::IsOfThisFlow(const held_flow& held,
+                              const flow_packet& packet) const {
+  if (held.confirmed) {
+    return true;
+  }
+  return held.answered && (!packet.acknowledges ||
+                           packet.acknowledged == held.first_sequence + 1);
+}
+
+void flow_agent::Deliver(const ipv4_address& balancer,
+                         const inner::carried_packet& carried) {
+  const uint32_t mark = next_mark_++;
+  marked_.at(mark % kMarkedPackets) = {mark, carried.attempt(), balancer};
+  outlet_->SendToUpstream(BytesOf(carried.packet()), mark);
+}
+
+void flow_agent::OnUpstreamPacket(const flow_packet& packet,
+                                  absl::Span<const uint8_t> bytes,
+                                  absl::Time now) {
+  if (packet.returned) {
+    OnHandedBack(packet, bytes);
+    return;
+  }
+  const flow_id flow = FlowFromUpstream(packet);
+  // One that is not known is held since before this process started.
+  held_flow& held = FindOrAdd(flow);
+  if (packet.opening) {
+    const bool is_first = !held.answered;
+    held.answered = true;
+    held.first_sequence = packet.sequence;
+    if (is_first && held.balancer != ipv4_address()) {
+      Notify(held.balancer, flow);
+    }
+  } else {
+    held.confirmed = true;
+  }
+  if (packet.length > 0) {
+    SetBusy(&held, false);
+  }
+  held.upstream_finished =
+      held.upstream_finished || packet.finishing || packet.resetting;
+  held.caller_finished = held.caller_finished || packet.resetting;
+  NoteEnd(&held, now);
+  outlet_->SendToCaller(flow, bytes);
+}
+
+// The upstream does not hold the flow, or takes no new one.
+void flow_agent::OnHandedBack(const flow_packet& packet,
+                              absl::Span<const uint8_t> bytes) {
+  const marked_packet sent = marked_.at(packet.mark % kMarkedPackets);
+  if (sent.mark != packet.mark) {
+    log_line(log_level::kWarn, "handed_back_too_late")
+        .With("flow", ToString(FlowFromCaller(packet)));
+    return;
+  }
+  const flow_id flow = FlowFromCaller(packet);
+  const auto found = flows_.find(flow);
+  const bool was_open = found != flows_.end() && found->second.confirmed;
+  if (was_open && !packet.opening) {
+    // It was open at this upstream, so no other one holds it.
+    const bool has_ended = found->second.over;
+    Forget(found);
+    if (!has_ended && !packet.resetting) {
+      log_line(log_level::kInfo, "flow_reset")
+          .With("flow", ToString(flow))
+          .With("reason", "upstream-lost-it")
+          .With("upstream", NameOf(state_));
+      outlet_->ResetFlow(flow, packet.acknowledged);
+    }
+    return;
+  }
+  if (found != flows_.end() && !found->second.confirmed) {
+    Forget(found);
+  }
+  HandBack(sent.balancer, sent.attempt, bytes,
+           packet.opening ? inner::RETURN_NO_NEW_FLOWS
+                          : inner::RETURN_NOT_HELD);
+}
+
+void flow_agent::HandBack(const ipv4_address& balancer, uint32_t attempt,
+                          absl::Span<const uint8_t> bytes,
+                          inner::return_reason reason) {
+  inner::returned_packet* returned = datagram_.mutable_returned();
+  returned->set_reason(reason);
+  inner::carried_packet* carried = returned->mutable_carried();
+  carried->set_service(service_);
+  carried->set_attempt(attempt);
+  carried->set_packet(bytes.data(), bytes.size());
+  outlet_->SendToBalancer(balancer, datagram_);
+}
+
+void flow_agent::Notify(const ipv4_address& balancer, const flow_id& flow) {
+  inner::flow_notice* notice = datagram_.mutable_notice();
+  notice->set_caller_ip(flow.caller.ip);
+  notice->set_caller_port(flow.caller.port);
+  notice->set_host_ip(flow.host.ip);
+  notice->set_host_port(flow.host.port);
+  FillLoad(notice->mutable_load());
+  outlet_->SendToBalancer(balancer, datagram_);
+}
+
+void flow_agent::FillLoad(inner::upstream_load* load) const {
+  load->set_slots(slots_);
+  load->set_open_flows(open_flows_);
+  load->set_busy_flows(busy_flows_);
+}
+
+flow_agent::held_flow& flow_agent::FindOrAdd(const flow_id& flow) {
+  const auto [found, is_new] = flows_.try_emplace(flow);
+  if (is_new) {
+    ++open_flows_;
+    load_changed_ = true;
+  }
+  return found->second;
+}
+
+void flow_agent::NoteEnd(held_flow* held, absl::Time now) {
+  if (held->caller_finished && held->upstream_finished) {
+    SetOver(held);
+  }
+  held->forget_at = now + (held->over ? kFinishedFlowLife : kHeldFlowLife);
+}
+
+void flow_agent::SetOver(held_flow* held) {
+  SetBusy(held, false);
+  if (!held->over) {
+    held->over = true;
+    --open_flows_;
+    load_changed_ = true;
+  }
+}
+
+void flow_agent::SetBusy(held_flow* held, bool busy) {
+  if (held->busy != busy) {
+    held->busy = busy;
+    busy ? ++busy_flows_ : --busy_flows_;
+    load_changed_ = true;
+  }
+}
+
+void flow_agent::Forget(flow_map::iterator flow) {
+  SetOver(&flow->second);
+  flows_.erase(flow);
+}
+
+void flow_agent::Tick(absl::Time now) {
+  if (now < next_tick_) {
+    return;
+  }
+  next_tick_ = now + kLoadInterval;
+  if (now >= next_sweep_) {
+    next_sweep_ = now + kSweepInterval;
+    for (auto flow = flows_.begin(); flow != flows_.end();) {
+      const auto present = flow++;
+      if (now >= present->second.forget_at) {
+        Forget(present);
+      }
+    }
+  }
+  ReportLoad(now);
+}
+
+void flow_agent::ReportLoad(absl::Time now) {
+  if (!load_changed_) {
+    return;
+  }
+  load_changed_ = false;
+  FillLoad(datagram_.mutable_load());
+  for (auto heard = balancers_.begin(); heard != balancers_.end();) {
+    const auto present = heard++;
+    if (now >= present->second + kBalancerLife) {
+      balancers_.erase(present);
+    } else {
+      outlet_->SendToBalancer(present->first, datagram_);
+    }
+  }
+}
+
+}  // namespace cardamomroute
--- /dev/null
+++ b/src/flows/flow_agent.h
@@ -0,0 +1,129 @@
+#ifndef CARDAMOMROUTE_FLOWS_FLOW_AGENT_H_
+#define CARDAMOMROUTE_FLOWS_FLOW_AGENT_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "absl/types/span.h"
+#include "base/ipv4_address.h"
+#include "directory/upstream_state.h"
+#include "flows/flow_id.h"
+#include "flows/flow_packet.h"
+#include "inner/flow_datagram.pb.h"
+
+namespace cardamomroute {
+
+class agent_outlet;
+
+/// A flow that was silent for this long has ended, whatever its ends think.
+inline constexpr absl::Duration kHeldFlowLife = absl::Seconds(60);
+
+/// How long a flow whose ends have both finished is remembered, for packets
+/// that come late.
+inline constexpr absl::Duration kFinishedFlowLife = absl::Seconds(5);
+
+/// How often balancers are told of the load while it changes.
+inline constexpr absl::Duration kLoadInterval = absl::Milliseconds(250);
+
+/// Balancers that are told of the load: those heard from for so long.
+inline constexpr absl::Duration kBalancerLife = absl::Seconds(5);
+
+/// Packets at the upstream that it may still hand back.
+inline constexpr size_t kMarkedPackets = 1024;
+
+/// What an agent does with the packets of opaque flows. Its upstream is the
+/// authority on the flows that it holds: what the agent knows is a cache of
+/// what the upstream has answered. After a restart it lets the upstream say.
+class flow_agent {
+ public:
+  /// `service` is the hash of the name of the upstream's service.
+  flow_agent(uint64_t service, agent_outlet* outlet);
+
+  /// What the upstream is at present. `heard_from_start`: it cannot hold a flow
+  /// that this process has not seen.
+  void OnUpstream(upstream_state state, uint32_t slots, bool heard_from_start);
+
+  /// A packet from a balancer; `packet` is the head of carried.packet().
+  void OnCarried(const ipv4_address& balancer,
+                 const inner::carried_packet& carried,
+                 const flow_packet& packet, absl::Time now);
+
+  /// A packet from the upstream; `bytes` is all of it. One that was handed back
+  /// is without its mark again, as the caller sent it.
+  void OnUpstreamPacket(const flow_packet& packet,
+                        absl::Span<const uint8_t> bytes, absl::Time now);
+
+  /// Forgets flows that are over and reports the load.
+  void Tick(absl::Time now);
+  absl::Time NextDeadline() const { return next_tick_; }
+
+  size_t held_flows() const { return flows_.size(); }
+  uint32_t busy_flows() const { return busy_flows_; }
+
+ private:
+  struct held_flow {
+    ipv4_address balancer;
+    /// Of the upstream's answer to the opening.
+    uint32_t first_sequence = 0;
+    /// The upstream has answered the opening.
+    bool answered = false;
+    /// The upstream has sent more: the flow is open here and nowhere else.
+    bool confirmed = false;
+    /// A request waits for its answer.
+    bool busy = false;
+    bool caller_finished = false;
+    bool upstream_finished = false;
+    bool over = false;
+    absl::Time forget_at;
+  };
+  /// A packet at the upstream.
+  struct marked_packet {
+    uint32_t mark = 0;
+    uint32_t attempt = 0;
+    ipv4_address balancer;
+  };
+  using flow_map = absl::flat_hash_map<flow_id, held_flow>;
+
+  void OnOpening(const ipv4_address& balancer,
+                 const inner::carried_packet& carried, const flow_id& flow,
+                 absl::Time now);
+  bool IsOfThisFlow(const held_flow& held, const flow_packet& packet) const;
+  void Deliver(const ipv4_address& balancer,
+               const inner::carried_packet& carried);
+  void OnHandedBack(const flow_packet& packet, absl::Span<const uint8_t> bytes);
+  void HandBack(const ipv4_address& balancer, uint32_t attempt,
+                absl::Span<const uint8_t> bytes, inner::return_reason reason);
+  void Notify(const ipv4_address& balancer, const flow_id& flow);
+  void FillLoad(inner::upstream_load* load) const;
+  held_flow& FindOrAdd(const flow_id& flow);
+  void NoteEnd(held_flow* held, absl::Time now);
+  void SetOver(held_flow* held);
+  void SetBusy(held_flow* held, bool busy);
+  void Forget(flow_map::iterator flow);
+  void ReportLoad(absl::Time now);
+
+  const uint64_t service_;
+  agent_outlet* const outlet_;
+  upstream_state state_ = upstream_state::kAbsent;
+  uint32_t slots_ = 1;
+  bool heard_from_start_ = false;
+  flow_map flows_;
+  /// Of `flows_`, those that are not over.
+  uint32_t open_flows_ = 0;
+  uint32_t busy_flows_ = 0;
+  uint32_t next_mark_ = 1;
+  std::array<marked_packet, kMarkedPackets> marked_{};
+  /// When each was last heard from.
+  absl::flat_hash_map<ipv4_address, absl::Time> balancers_;
+  bool load_changed_ = false;
+  absl::Time next_tick_ = absl::InfinitePast();
+  absl::Time next_sweep_ = absl::InfinitePast();
+  inner::flow_datagram datagram_;
+};
+
+}  // namespace cardamomroute
+
+#endif  // CARDAMOMROUTE_FLOWS_FLOW_AGENT_H_
--- /dev/null
+++ b/src/flows/flow_balancer.cc
@@ -0,0 +1,239 @@
+#include "flows/flow_balancer.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/log.h"
+#include "flows/balancer_outlet.h"
+
+namespace cardamomroute {
+namespace {
+
+constexpr absl::Duration kSweepInterval = absl::Seconds(1);
+
+absl::Span<const uint8_t> BytesOf(const std::string& bytes) {
+  return {reinterpret_cast<const uint8_t*>(bytes.data()), bytes.size()};
+}
+
+}  // namespace
+
+flow_balancer::flow_balancer(balancer_outlet* outlet) : outlet_(outlet) {}
+
+void flow_balancer::OnRoutes(std::shared_ptr<const route_set> routes) {
+  for (const ipv4_address& host : routes_->HostsMissingIn(*routes)) {
+    removed_hosts_.insert(host);
+  }
+  for (auto host = removed_hosts_.begin(); host != removed_hosts_.end();) {
+    const auto present = host++;
+    if (routes->Find(*present) != nullptr) {
+      removed_hosts_.erase(present);
+    }
+  }
+  log_line(log_level::kInfo, "routes_in_force")
+      .With("version", routes->version())
+      .With("before", routes_->version())
+      .With("routes", routes->size());
+  routes_ = std::move(routes);
+}
+
+void flow_balancer::OnUpstreams(const std::vector<known_upstream>& known) {
+  upstreams_.OnUpstreams(known);
+  services_.clear();
+  for (const known_upstream& item : known) {
+    services_[item.agent] = HashOfService(item.service);
+  }
+}
+
+void flow_balancer::OnCallerPacket(const flow_packet& packet,
+                                   absl::Span<const uint8_t> bytes,
+                                   absl::Time now) {
+  const flow_id flow = FlowFromCaller(packet);
+  if (packet.opening) {
+    OnOpening(flow, packet, bytes, now);
+    return;
+  }
+  if (removed_hosts_.contains(flow.host)) {
+    flows_.erase(flow);
+    if (!packet.resetting) {
+      outlet_->ResetFlow(flow, packet.acknowledged);
+    }
+    return;
+  }
+  const auto cached = flows_.find(flow);
+  if (cached == flows_.end()) {
+    Search(flow, bytes, 0);
+    return;
+  }
+  const bool ends = packet.finishing || packet.resetting;
+  cached->second.forget_at = now + (ends ? kEndedFlowLife : kCachedFlowLife);
+  Send(cached->second.holder, 0, bytes);
+}
+
+void flow_balancer::OnOpening(const flow_id& flow, const flow_packet& packet,
+                              absl::Span<const uint8_t> bytes,
+                              absl::Time now) {
+  const flow_route* route = routes_->Find(flow.host);
+  if (route == nullptr) {
+    // Without any routes it is not known what there is.
+    if (routes_->version() != 0) {
+      log_line(log_level::kInfo, "flow_refused")
+          .With("flow", ToString(flow))
+          .With("reason", "no-route")
+          .With("routes_version", routes_->version());
+      outlet_->ResetFlow(flow, 0);
+    }
+    return;
+  }
+  const auto found = flows_.find(flow);
+  const bool is_copy = packet.acknowledged > 0;
+  if (found != flows_.end() && (is_copy || found->second.held)) {
+    if (found->second.held) {
+      Send(found->second.holder, 0, bytes);
+      return;
+    }
+    upstreams_.OnUnanswered(found->second.holder, now);
+    TryNext(flow, *route, &found->second, bytes, now);
+    return;
+  }
+  if (flows_.size() >= kMaxCachedFlows) {
+    flows_.erase(flows_.begin());
+  }
+  cached_flow& cached = flows_[flow];
+  cached = cached_flow();
+  TryNext(flow, *route, &cached, bytes, now);
+}
+
+// Places the opening at an agent that was not tried with it. Where none is
+// left, the caller is told so at once: no upstream has taken the flow.
+void flow_balancer::TryNext(const flow_id& flow, const flow_route& route,
+                            cached_flow* cached,
+                            absl::Span<const uint8_t> bytes, absl::Time now) {
+  ipv4_address agent;
+  if (cached->tries < kOpeningTries) {
+    agent = upstreams_.Place(HashOf(flow), route,
+                             {cached->tried.data(), cached->tries}, now);
+  }
+  if (agent == ipv4_address()) {
+    log_line(log_level::kInfo, "flow_refused")
+        .With("flow", ToString(flow))
+        .With("reason", "no-upstream")
+        .With("route", route.name)
+        .With("tries", cached->tries)
+        .With("upstreams", upstreams_.size())
+        .With("routes_version", routes_->version());
+    flows_.erase(flow);
+    outlet_->ResetFlow(flow, 0);
+    return;
+  }
+  log_line(log_level::kInfo, "flow_placed")
+      .With("flow", ToString(flow))
+      .With("route", route.name)
+      .With("agent", ToString(ToEndpoint(agent)))
+      .With("tries", cached->tries)
+      .With("routes_version", routes_->version());
+  cached->tried.at(cached->tries++) = agent;
+  cached->holder = agent;
+  cached->forget_at = now + kCachedFlowLife;
+  Send(agent, 0, bytes);
+}
+
+void flow_balancer::Search(const flow_id& flow, absl::Span<const uint8_t> bytes,
+                           uint32_t step) {
+  const flow_route* route = routes_->Find(flow.host);
+  if (route == nullptr) {
+    return;
+  }
+  const ipv4_address agent =
+      upstreams_.SearchStep(HashOf(flow), *route, step);
+  if (agent == ipv4_address()) {
+    // An upstream may still hold it, at an agent that is not known here.
+    log_line(log_level::kInfo, "flow_not_found")
+        .With("flow", ToString(flow))
+        .With("steps", step);
+    return;
+  }
+  Send(agent, step + 1, bytes);
+}
+
+void flow_balancer::Send(const ipv4_address& agent, uint32_t attempt,
+                         absl::Span<const uint8_t> bytes) {
+  inner::carried_packet* carried = datagram_.mutable_carried();
+  carried->set_service(ServiceOf(agent));
+  carried->set_attempt(attempt);
+  carried->set_packet(bytes.data(), bytes.size());
+  outlet_->SendToAgent(agent, datagram_);
+}
+
+uint64_t flow_balancer::ServiceOf(const ipv4_address& agent) const {
+  const auto found = services_.find(agent);
+  return found != services_.end() ? found->second : 0;
+}
+
+void flow_balancer::OnReturned(const ipv4_address& agent,
+                               const inner::returned_packet& returned,
+                               const flow_packet& packet, absl::Time now) {
+  const flow_id flow = FlowFromCaller(packet);
+  // Kept apart from `datagram_`, which may be filled while it is read.
+  const std::string bytes = returned.carried().packet();
+  const auto cached = flows_.find(flow);
+  if (packet.opening) {
+    const flow_route* route = routes_->Find(flow.host);
+    if (cached == flows_.end() || cached->second.held || route == nullptr ||
+        cached->second.holder != agent) {
+      return;
+    }
+    TryNext(flow, *route, &cached->second, BytesOf(bytes), now);
+    return;
+  }
+  if (cached != flows_.end() && cached->second.holder == agent) {
+    flows_.erase(cached);
+  } else if (cached != flows_.end() && returned.carried().attempt() == 0) {
+    // It was found elsewhere meanwhile.
+    Send(cached->second.holder, 0, BytesOf(bytes));
+    return;
+  }
+  // Attempt 0 is that at the remembered holder.
+  Search(flow, BytesOf(bytes), returned.carried().attempt());
+}
+
+void flow_balancer::OnNotice(const ipv4_address& agent,
+                             const inner::flow_notice& notice,
+                             absl::Time now) {
+  const flow_id flow{
+      {notice.caller_ip(), static_cast<uint16_t>(notice.caller_port())},
+      {notice.host_ip(), static_cast<uint16_t>(notice.host_port())}};
+  upstreams_.OnLoad(agent, notice.load());
+  const auto found = flows_.find(flow);
+  // Of two upstreams that have answered an opening, the first one stays: the
+  // caller mostly takes that one, and a packet for the other comes back.
+  if (found != flows_.end() && found->second.held) {
+    return;
+  }
+  if (flows_.size() >= kMaxCachedFlows && found == flows_.end()) {
+    flows_.erase(flows_.begin());
+  }
+  cached_flow& cached = flows_[flow];
+  cached.holder = agent;
+  cached.held = true;
+  cached.forget_at = now + kCachedFlowLife;
+}
+
+void flow_balancer::OnLoad(const ipv4_address& agent,
+                           const inner::upstream_load& load) {
+  upstreams_.OnLoad(agent, load);
+}
+
+void flow_balancer::Tick(absl::Time now) {
+  if (now < next_sweep_) {
+    return;
+  }
+  next_sweep_ = now + kSweepInterval;
+  for (auto flow = flows_.begin(); flow != flows_.end();) {
+    const auto present = flow++;
+    if (now >= present->second.forget_at) {
+      flows_.erase(present);
+    }
+  }
+}
+
+}  // namespace cardamomroute
--- /dev/null
+++ b/src/flows/flow_id.h
@@ -0,0 +1,45 @@
+#ifndef CARDAMOMROUTE_FLOWS_FLOW_ID_H_
+#define CARDAMOMROUTE_FLOWS_FLOW_ID_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "base/ipv4_address.h"
+
+namespace cardamomroute {
+
+/// Names an opaque flow: the caller's end and the route's address that it
+/// talks to.
+struct flow_id {
+  ipv4_address caller;
+  ipv4_address host;
+
+  friend bool operator==(const flow_id& a, const flow_id& b) {
+    return a.caller == b.caller && a.host == b.host;
+  }
+  friend bool operator!=(const flow_id& a, const flow_id& b) {
+    return !(a == b);
+  }
+  template <typename Hash>
+  friend Hash AbslHashValue(Hash state, const flow_id& value) {
+    return Hash::combine(std::move(state), value.caller, value.host);
+  }
+};
+
+/// "IP:PORT>IP:PORT", as logs have it.
+std::string ToString(const flow_id& flow);
+
+/// The same on every node and in every release.
+uint64_t HashOf(const flow_id& flow);
+
+/// The weight of an agent for a flow in rendezvous hashing.
+uint64_t RendezvousWeight(uint64_t flow_hash, const ipv4_address& agent);
+
+/// Stands for a service's name in packets between processes.
+uint64_t HashOfService(std::string_view name);
+
+}  // namespace cardamomroute
+
+#endif  // CARDAMOMROUTE_FLOWS_FLOW_ID_H_
--- /dev/null
+++ b/src/flows/upstream_table.cc
@@ -0,0 +1,130 @@
+#include "flows/upstream_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cardamomroute {
+namespace {
+
+using ranked_index = std::pair<uint64_t, size_t>;
+
+/// Keeps the `most` highest, highest first.
+void KeepHighest(size_t most, std::vector<ranked_index>* ranked) {
+  const size_t kept = std::min(most, ranked->size());
+  std::partial_sort(ranked->begin(),
+                    ranked->begin() + static_cast<ptrdiff_t>(kept),
+                    ranked->end(), std::greater<>());
+  ranked->resize(kept);
+}
+
+}  // namespace
+
+double upstream_table::upstream::Load() const {
+  return static_cast<double>(open_flows + kBusyFlowWeight * busy_flows) /
+         known.slots;
+}
+
+void upstream_table::OnUpstreams(const std::vector<known_upstream>& known) {
+  std::vector<upstream> next;
+  next.reserve(known.size());
+  for (const known_upstream& item : known) {
+    upstream& added = next.emplace_back();
+    added.known = item;
+    added.service = HashOfService(item.service);
+    for (const upstream& before : upstreams_) {
+      if (before.known.agent == item.agent && before.service == added.service) {
+        added.open_flows = before.open_flows;
+        added.busy_flows = before.busy_flows;
+        added.avoided_until = before.avoided_until;
+      }
+    }
+  }
+  upstreams_ = std::move(next);
+}
+
+void upstream_table::OnLoad(const ipv4_address& agent,
+                            const inner::upstream_load& load) {
+  for (upstream& item : upstreams_) {
+    if (item.known.agent == agent) {
+      item.open_flows = load.open_flows();
+      item.busy_flows = load.busy_flows();
+      item.avoided_until = absl::InfinitePast();
+    }
+  }
+}
+
+void upstream_table::OnUnanswered(const ipv4_address& agent, absl::Time now) {
+  for (upstream& item : upstreams_) {
+    if (item.known.agent == agent) {
+      item.avoided_until = now + kUnansweredPenalty;
+    }
+  }
+}
+
+ipv4_address upstream_table::Place(uint64_t flow_hash, const flow_route& route,
+                                   absl::Span<const ipv4_address> tried,
+                                   absl::Time now) {
+  // What the group last heard may be wrong, so a silent agent is the last
+  // resort, not none.
+  for (const bool also_silent : {false, true}) {
+    uint64_t excluded = 0;
+    while (const flow_share* share = route.ShareOf(flow_hash, excluded)) {
+      upstream* chosen =
+          Choose(flow_hash, share->service, tried, also_silent, now);
+      if (chosen != nullptr) {
+        ++chosen->open_flows;
+        return chosen->known.agent;
+      }
+      excluded |= uint64_t{1} << (share - route.shares.data());
+    }
+  }
+  return {};
+}
+
+upstream_table::upstream* upstream_table::Choose(
+    uint64_t flow_hash, uint64_t service, absl::Span<const ipv4_address> tried,
+    bool also_silent, absl::Time now) {
+  std::vector<ranked_index> ranked;
+  for (size_t i = 0; i < upstreams_.size(); ++i) {
+    const upstream& item = upstreams_[i];
+    const bool is_open = item.service == service &&
+                         item.known.state == upstream_state::kServing &&
+                         (also_silent || (!item.known.silent &&
+                                          now >= item.avoided_until));
+    if (is_open && std::find(tried.begin(), tried.end(), item.known.agent) ==
+                       tried.end()) {
+      ranked.emplace_back(RendezvousWeight(flow_hash, item.known.agent), i);
+    }
+  }
+  KeepHighest(kPlacementCandidates, &ranked);
+  upstream* chosen = nullptr;
+  for (const auto& [weight, index] : ranked) {
+    upstream& item = upstreams_[index];
+    if (chosen == nullptr || item.Load() < chosen->Load()) {
+      chosen = &item;
+    }
+  }
+  return chosen;
+}
+
+ipv4_address upstream_table::SearchStep(uint64_t flow_hash,
+                                        const flow_route& route,
+                                        uint32_t step) const {
+  std::vector<ranked_index> ranked;
+  for (size_t i = 0; i < upstreams_.size(); ++i) {
+    const bool is_possible =
+        std::any_of(route.shares.begin(), route.shares.end(),
+                    [&](const flow_share& share) {
+                      return share.service == upstreams_[i].service;
+                    });
+    if (is_possible) {
+      ranked.emplace_back(
+          RendezvousWeight(flow_hash, upstreams_[i].known.agent), i);
+    }
+  }
+  KeepHighest(kSearchedAgents, &ranked);
+  return step < ranked.size() ? upstreams_[ranked[step].second].known.agent
+                              : ipv4_address();
+}
+
+}  // namespace cardamomroute
--- /dev/null
+++ b/src/flows/upstream_table.h
@@ -0,0 +1,83 @@
+#ifndef CARDAMOMROUTE_FLOWS_UPSTREAM_TABLE_H_
+#define CARDAMOMROUTE_FLOWS_UPSTREAM_TABLE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "absl/types/span.h"
+#include "base/ipv4_address.h"
+#include "directory/known_upstream.h"
+#include "flows/flow_id.h"
+#include "flows/route_set.h"
+#include "inner/flow_datagram.pb.h"
+
+namespace cardamomroute {
+
+/// Upstreams among which a flow is placed at most, those that rendezvous
+/// hashing puts first. A flow that a balancer does not know is looked for in
+/// the same order, so this bounds the search.
+inline constexpr size_t kPlacementCandidates = 8;
+
+/// Agents that are asked for a flow at most: the candidates, and others that
+/// were candidates before the list of upstreams changed.
+inline constexpr size_t kSearchedAgents = 24;
+
+/// A request that waits for its answer counts as so many open flows: a flow is
+/// mostly idle, and a slot that is taken is felt at once.
+inline constexpr uint32_t kBusyFlowWeight = 4;
+
+/// How long an agent that did not answer an opening is passed over.
+inline constexpr absl::Duration kUnansweredPenalty = absl::Seconds(1);
+
+/// What a balancer knows of upstreams and their load, and where it would place
+/// a flow.
+class upstream_table {
+ public:
+  /// The upstreams that there are; loads of those that stay are kept.
+  void OnUpstreams(const std::vector<known_upstream>& known);
+
+  /// What an agent measured.
+  void OnLoad(const ipv4_address& agent, const inner::upstream_load& load);
+
+  /// An agent did not answer an opening.
+  void OnUnanswered(const ipv4_address& agent, absl::Time now);
+
+  /// The agent that is to get a new flow of the route, passing over those that
+  /// were tried; a zero address where there is none. The flow counts there
+  /// until the agent's next report.
+  ipv4_address Place(uint64_t flow_hash, const flow_route& route,
+                     absl::Span<const ipv4_address> tried, absl::Time now);
+
+  /// The agent to ask in step `step` (from 0) of the search for a flow; a zero
+  /// address once all were asked.
+  ipv4_address SearchStep(uint64_t flow_hash, const flow_route& route,
+                          uint32_t step) const;
+
+  size_t size() const { return upstreams_.size(); }
+
+ private:
+  struct upstream {
+    known_upstream known;
+    uint64_t service = 0;
+    uint32_t open_flows = 0;
+    uint32_t busy_flows = 0;
+    absl::Time avoided_until = absl::InfinitePast();
+
+    /// Flows per slot, by weight.
+    double Load() const;
+  };
+
+  upstream* Choose(uint64_t flow_hash, uint64_t service,
+                   absl::Span<const ipv4_address> tried, bool also_silent,
+                   absl::Time now);
+
+  std::vector<upstream> upstreams_;
+};
+
+}  // namespace cardamomroute
+
+#endif  // CARDAMOMROUTE_FLOWS_UPSTREAM_TABLE_H_
