--- a/src/flows/flow_balancer.cc
+++ b/src/flows/flow_balancer.cc
@@ -61,7 +61,7 @@
   }
   const auto cached = flows_.find(flow);
   if (cached == flows_.end()) {
-    Search(flow, bytes, 0);
+    BeginSearch(flow, bytes, now);
     return;
   }
   const bool ends = packet.finishing || packet.resetting;
@@ -137,21 +137,38 @@
   Send(agent, 0, bytes);
 }
 
+void flow_balancer::BeginSearch(const flow_id& flow,
+                                absl::Span<const uint8_t> bytes,
+                                absl::Time now) {
+  const auto before = searches_.find(flow);
+  if (before != searches_.end() &&
+      now >= before->second.asked_at + kSearchPatience) {
+    upstreams_.OnUnanswered(before->second.agent, now);
+  }
+  Search(flow, bytes, 0, now);
+}
+
 void flow_balancer::Search(const flow_id& flow, absl::Span<const uint8_t> bytes,
-                           uint32_t step) {
+                           uint32_t step, absl::Time now) {
   const flow_route* route = routes_->Find(flow.host);
   if (route == nullptr) {
     return;
   }
   const ipv4_address agent =
-      upstreams_.SearchStep(HashOf(flow), *route, step);
+      upstreams_.SearchStep(HashOf(flow), *route, step, now);
   if (agent == ipv4_address()) {
     // An upstream may still hold it, at an agent that is not known here.
     log_line(log_level::kInfo, "flow_not_found")
         .With("flow", ToString(flow))
         .With("steps", step);
+    searches_.erase(flow);
     return;
   }
+  log_line(log_level::kInfo, "flow_searched")
+      .With("flow", ToString(flow))
+      .With("agent", ToString(ToEndpoint(agent)))
+      .With("step", step);
+  searches_[flow] = {agent, now};
   Send(agent, step + 1, bytes);
 }
 
@@ -193,7 +210,7 @@
     return;
   }
   // Attempt 0 is that at the remembered holder.
-  Search(flow, BytesOf(bytes), returned.carried().attempt());
+  Search(flow, BytesOf(bytes), returned.carried().attempt(), now);
 }
 
 void flow_balancer::OnNotice(const ipv4_address& agent,
@@ -203,6 +220,7 @@
       {notice.caller_ip(), static_cast<uint16_t>(notice.caller_port())},
       {notice.host_ip(), static_cast<uint16_t>(notice.host_port())}};
   upstreams_.OnLoad(agent, notice.load());
+  searches_.erase(flow);
   const auto found = flows_.find(flow);
   // Of two upstreams that have answered an opening, the first one stays: the
   // caller mostly takes that one, and a packet for the other comes back.
@@ -212,6 +230,11 @@
   if (flows_.size() >= kMaxCachedFlows && found == flows_.end()) {
     flows_.erase(flows_.begin());
   }
+  if (found == flows_.end()) {
+    log_line(log_level::kInfo, "flow_found")
+        .With("flow", ToString(flow))
+        .With("agent", ToString(ToEndpoint(agent)));
+  }
   cached_flow& cached = flows_[flow];
   cached.holder = agent;
   cached.held = true;
@@ -228,6 +251,12 @@
     return;
   }
   next_sweep_ = now + kSweepInterval;
+  for (auto search = searches_.begin(); search != searches_.end();) {
+    const auto present = search++;
+    if (now >= present->second.asked_at + kCachedFlowLife) {
+      searches_.erase(present);
+    }
+  }
   for (auto flow = flows_.begin(); flow != flows_.end();) {
     const auto present = flow++;
     if (now >= present->second.forget_at) {
--- a/src/flows/flow_balancer.h
+++ b/src/flows/flow_balancer.h
@@ -33,6 +33,10 @@
 /// The same after a caller has ended its side.
 inline constexpr absl::Duration kEndedFlowLife = absl::Seconds(3);
 
+/// An agent that has not answered for so long when the next packet of a flow
+/// comes is passed over. Callers repeat a packet after 200 ms.
+inline constexpr absl::Duration kSearchPatience = absl::Milliseconds(100);
+
 /// Flows that are remembered at most; others are looked for.
 inline constexpr size_t kMaxCachedFlows = size_t{1} << 18;
 
@@ -77,13 +81,21 @@
     absl::Time forget_at;
   };
 
+  /// The agent that was asked last whether it holds a flow.
+  struct pending_search {
+    ipv4_address agent;
+    absl::Time asked_at;
+  };
+
   void OnOpening(const flow_id& flow, const flow_packet& packet,
                  absl::Span<const uint8_t> bytes, absl::Time now);
   void TryNext(const flow_id& flow, const flow_route& route,
                cached_flow* cached, absl::Span<const uint8_t> bytes,
                absl::Time now);
+  void BeginSearch(const flow_id& flow, absl::Span<const uint8_t> bytes,
+                   absl::Time now);
   void Search(const flow_id& flow, absl::Span<const uint8_t> bytes,
-              uint32_t step);
+              uint32_t step, absl::Time now);
   void Send(const ipv4_address& agent, uint32_t attempt,
             absl::Span<const uint8_t> bytes);
   uint64_t ServiceOf(const ipv4_address& agent) const;
@@ -95,6 +107,8 @@
   upstream_table upstreams_;
   absl::flat_hash_map<ipv4_address, uint64_t> services_;
   absl::flat_hash_map<flow_id, cached_flow> flows_;
+  /// Searches that are not over.
+  absl::flat_hash_map<flow_id, pending_search> searches_;
   /// Filled anew for each packet, so that it keeps its memory.
   inner::flow_datagram datagram_;
   absl::Time next_sweep_ = absl::InfinitePast();
--- a/src/flows/upstream_table.cc
+++ b/src/flows/upstream_table.cc
@@ -1,6 +1,8 @@
 #include "flows/upstream_table.h"
 
 #include <algorithm>
+#include <functional>
+#include <tuple>
 #include <utility>
 
 namespace cardamomroute {
@@ -8,8 +10,23 @@
 
 using ranked_index = std::pair<uint64_t, size_t>;
 
+/// Where an upstream stands in the search for a flow; the highest is asked
+/// first.
+struct search_rank {
+  bool is_reachable = false;
+  bool has_upstream = false;
+  uint64_t weight = 0;
+  size_t index = 0;
+
+  friend bool operator>(const search_rank& a, const search_rank& b) {
+    return std::tie(a.is_reachable, a.has_upstream, a.weight) >
+           std::tie(b.is_reachable, b.has_upstream, b.weight);
+  }
+};
+
 /// Keeps the `most` highest, highest first.
-void KeepHighest(size_t most, std::vector<ranked_index>* ranked) {
+template <typename Rank>
+void KeepHighest(size_t most, std::vector<Rank>* ranked) {
   const size_t kept = std::min(most, ranked->size());
   std::partial_sort(ranked->begin(),
                     ranked->begin() + static_cast<ptrdiff_t>(kept),
@@ -89,8 +106,7 @@
     const upstream& item = upstreams_[i];
     const bool is_open = item.service == service &&
                          item.known.state == upstream_state::kServing &&
-                         (also_silent || (!item.known.silent &&
-                                          now >= item.avoided_until));
+                         (also_silent || item.IsReachable(now));
     if (is_open && std::find(tried.begin(), tried.end(), item.known.agent) ==
                        tried.end()) {
       ranked.emplace_back(RendezvousWeight(flow_hash, item.known.agent), i);
@@ -109,8 +125,8 @@
 
 ipv4_address upstream_table::SearchStep(uint64_t flow_hash,
                                         const flow_route& route,
-                                        uint32_t step) const {
-  std::vector<ranked_index> ranked;
+                                        uint32_t step, absl::Time now) const {
+  std::vector<search_rank> ranked;
   for (size_t i = 0; i < upstreams_.size(); ++i) {
     const bool is_possible =
         std::any_of(route.shares.begin(), route.shares.end(),
@@ -118,13 +134,16 @@
                       return share.service == upstreams_[i].service;
                     });
     if (is_possible) {
-      ranked.emplace_back(
-          RendezvousWeight(flow_hash, upstreams_[i].known.agent), i);
+      const upstream& item = upstreams_[i];
+      ranked.push_back({item.IsReachable(now),
+                        item.known.state != upstream_state::kAbsent,
+                        RendezvousWeight(flow_hash, item.known.agent), i});
     }
   }
   KeepHighest(kSearchedAgents, &ranked);
-  return step < ranked.size() ? upstreams_[ranked[step].second].known.agent
-                              : ipv4_address();
+  return step < ranked.size()
+             ? upstreams_[ranked[step].index].known.agent
+             : ipv4_address();
 }
 
 }  // namespace cardamomroute
--- a/src/flows/upstream_table.h
+++ b/src/flows/upstream_table.h
@@ -43,7 +43,7 @@
   /// What an agent measured.
   void OnLoad(const ipv4_address& agent, const inner::upstream_load& load);
 
-  /// An agent did not answer an opening.
+  /// An agent did not answer an opening or a search.
   void OnUnanswered(const ipv4_address& agent, absl::Time now);
 
   /// The agent that is to get a new flow of the route, passing over those that
@@ -53,9 +53,10 @@
                      absl::Span<const ipv4_address> tried, absl::Time now);
 
   /// The agent to ask in step `step` (from 0) of the search for a flow; a zero
-  /// address once all were asked.
+  /// address once all were asked. Agents that may not answer come last, those
+  /// whose upstream has gone before them.
   ipv4_address SearchStep(uint64_t flow_hash, const flow_route& route,
-                          uint32_t step) const;
+                          uint32_t step, absl::Time now) const;
 
   size_t size() const { return upstreams_.size(); }
 
@@ -67,6 +68,10 @@
     uint32_t busy_flows = 0;
     absl::Time avoided_until = absl::InfinitePast();
 
+    /// Whether its agent is likely to answer.
+    bool IsReachable(absl::Time now) const {
+      return !known.silent && now >= avoided_until;
+    }
     /// Flows per slot, by weight.
     double Load() const;
   };
