--- a/src/cardamomroute/control_member.cc
+++ b/src/cardamomroute/control_member.cc
@@ -204,6 +204,7 @@
   ProposeRepair(now);
   BOOST_OUTCOME_TRYV(DrainReady(now));
   FollowRole(now);
+  NoteCommitted();
   ExpirePending(now);
   return CompactIfDue();
 }
@@ -286,6 +287,12 @@
     registry_.BatchDone();
   }
   CountApplied(entry, outcome, now);
+  if (outcome.configuration_changed) {
+    unnoted_commit_ = entry.index();
+    log_line(log_level::kInfo, "configuration")
+        .With("index", entry.index())
+        .With("version", state_.Configuration()->version());
+  }
   if (outcome.submission) {
     log_line(log_level::kInfo, "submission")
         .With("index", entry.index())
@@ -311,6 +318,20 @@
   proposed_.erase(proposed_.begin(), proposed_.upper_bound(entry.index()));
 }
 
+// After the answer went out. So a member that starts again serves what it had
+// applied before there is a leader. Without the note it waits for one.
+void control_member::NoteCommitted() {
+  if (stalled_ || !unnoted_commit_) {
+    return;
+  }
+  const result<void> noted =
+      storage_.WriteCommitted(*std::exchange(unnoted_commit_, std::nullopt));
+  if (!noted) {
+    log_line(log_level::kWarn, "commit_not_noted")
+        .With("reason", Describe(noted.error()));
+  }
+}
+
 result<void> control_member::CompactIfDue() {
   if (stalled_ || !storage_.WantsSnapshot() ||
       applied_index_ <= raft_->SnapshotIndex()) {
--- a/src/cardamomroute/control_member.h
+++ b/src/cardamomroute/control_member.h
@@ -105,6 +105,7 @@
   void Send(const inner::raft_message& message);
   void ApplyEntry(const inner::raft_entry& entry, absl::Time now);
   result<void> CompactIfDue();
+  void NoteCommitted();
   void FollowRole(absl::Time now);
   void ProposeBatch(absl::Time now);
   void ProposeRepair(absl::Time now);
@@ -192,6 +193,9 @@
   absl::Time leading_since_;
   absl::Time stamp_base_;
   std::optional<uint64_t> batch_index_;
+  /// Set where a configuration was applied that the disk does not know to be
+  /// committed.
+  std::optional<uint64_t> unnoted_commit_;
   absl::Time next_hello_;
   absl::Time next_repair_;
   absl::Time retry_write_at_;
--- a/src/cardamomroute/control_storage.cc
+++ b/src/cardamomroute/control_storage.cc
@@ -81,6 +81,7 @@
     snapshot_bytes_ = stored.snapshot->bytes.size();
     recovered_.snapshot = std::move(record);
   }
+  recovered_.committed = stored.committed;
   for (const control::stored_entry& entry : stored.entries) {
     if (!recovered_.entries.emplace_back().ParseFromString(entry.bytes)) {
       return Unreadable("entry");
--- a/src/cardamomroute/control_storage.h
+++ b/src/cardamomroute/control_storage.h
@@ -42,6 +42,11 @@
   /// Puts a snapshot of the applied state in place of the entries up to it.
   result<void> Compact(const inner::raft_snapshot_record& snapshot);
 
+  /// Notes what is committed. Fails as log_store::SaveCommitted.
+  result<void> WriteCommitted(uint64_t index) {
+    return store_->SaveCommitted(index);
+  }
+
   /// Gives the folder's identity up. Fails as log_store::Abandon.
   result<void> Abandon() { return store_->Abandon(); }
 
--- a/src/control/log_store.cc
+++ b/src/control/log_store.cc
@@ -93,6 +93,12 @@
   return outcome::success();
 }
 
+result<void> log_store::SaveCommitted(uint64_t index) {
+  std::string bytes;
+  AppendRecord(CommittedRecord(index), log_bytes_, &bytes);
+  return AppendSynced(bytes);
+}
+
 result<void> log_store::SaveSnapshot(const stored_snapshot& snapshot,
                                      const std::vector<stored_entry>& tail) {
   if (poisoned_) {
--- a/src/control/log_store.h
+++ b/src/control/log_store.h
@@ -45,6 +45,10 @@
   result<void> Save(const std::optional<hard_state>& hard,
                     const std::vector<stored_entry>& entries);
 
+  /// Notes that all entries up to `index` are committed, so that a member that
+  /// starts again knows so without a leader. Fails as Save does.
+  result<void> SaveCommitted(uint64_t index);
+
   /// Makes `snapshot` last in place of every entry up to its index; `tail` are
   /// the entries behind it that stay. Fails as Save does.
   result<void> SaveSnapshot(const stored_snapshot& snapshot,
--- a/src/control/log_store_record.h
+++ b/src/control/log_store_record.h
@@ -19,6 +19,8 @@
   kHardState,
   kEntry,
   kSnapshot,
+  /// All entries up to `index` are known to be committed.
+  kCommitted,
 };
 
 struct log_record {
--- a/src/control/log_store_recovery.cc
+++ b/src/control/log_store_recovery.cc
@@ -126,6 +126,7 @@
   recovered_.cut_bytes = content.size() - scan.whole_bytes;
   recovered_.entries = std::move(log.entries);
   hard_ = recovered_.hard = log.hard;
+  recovered_.committed = log.committed;
   starts_ = log.starts;
   log_bytes_ = scan.whole_bytes;
   if (recovered_.cut_bytes > 0) {
--- a/src/control/log_store_replay.cc
+++ b/src/control/log_store_replay.cc
@@ -14,6 +14,10 @@
   return {record_kind::kStart, starts, 0, ""};
 }
 
+log_record CommittedRecord(uint64_t index) {
+  return {record_kind::kCommitted, index, 0, ""};
+}
+
 bool IsChange(const log_record& record) {
   return record.kind == record_kind::kHardState ||
          record.kind == record_kind::kEntry;
@@ -37,6 +41,9 @@
       return true;
     case record_kind::kEntry:
       return ReplayEntry(record);
+    case record_kind::kCommitted:
+      committed = record.index;
+      return true;
     case record_kind::kSnapshot:
       return false;
   }
--- a/src/control/log_store_replay.h
+++ b/src/control/log_store_replay.h
@@ -11,9 +11,11 @@
 
 namespace cardamomroute::control {
 
-/// The record of a hard state, and of a folder's count of starts.
+/// The record of a hard state, of a folder's count of starts, and of what is
+/// known to be committed.
 log_record HardStateRecord(const hard_state& hard);
 log_record StartRecord(uint64_t starts);
+log_record CommittedRecord(uint64_t index);
 
 /// True for a record that changes what is promised to other members.
 bool IsChange(const log_record& record);
@@ -33,6 +35,7 @@
   uint64_t base_term = 0;
   uint64_t starts = 0;
   hard_state hard;
+  uint64_t committed = 0;
   std::vector<stored_entry> entries;
 
  private:
--- a/src/control/log_store_types.h
+++ b/src/control/log_store_types.h
@@ -52,6 +52,8 @@
   std::optional<stored_snapshot> snapshot;
   /// Without holes, from the snapshot's index + 1, or from 1.
   std::vector<stored_entry> entries;
+  /// Entries up to here are known to be committed; there may be more.
+  uint64_t committed = 0;
   /// Bytes of an unfinished write that were cut off; never promised.
   uint64_t cut_bytes = 0;
 };
--- a/src/control/raft_core.cc
+++ b/src/control/raft_core.cc
@@ -34,6 +34,8 @@
       AppendToLog(std::move(entry));
     }
   }
+  commit_index_ =
+      std::max(commit_index_, std::min(state.committed, log_.LastIndex()));
   synced_index_ = log_.LastIndex();
   unstored_index_ = log_.LastIndex() + 1;
   start_position_.set_member(options_.self);
--- a/src/control/raft_types.h
+++ b/src/control/raft_types.h
@@ -35,6 +35,8 @@
   shared_snapshot snapshot;
   /// Consecutive; those that the snapshot covers are passed over.
   std::vector<inner::raft_entry> entries;
+  /// Entries up to here are known to be committed; 0 where nothing is known.
+  uint64_t committed = 0;
 };
 
 /// The state of each founding member of a new control group: a snapshot of
--- a/src/directory/announcer.cc
+++ b/src/directory/announcer.cc
@@ -21,6 +21,7 @@
                          absl::Time now) {
   if (answer.incarnation() == own_.incarnation()) {
     contacts_.OnNamed(answer.members(), now);
+    is_answered_ = true;
   }
 }
 
@@ -28,9 +29,15 @@
   if (now < next_) {
     return std::nullopt;
   }
-  next_ = now + kAnnouncementInterval;
+  next_ = now + (is_answered_ ? kAnnouncementInterval : kFirstAnnouncements);
   own_.set_sequence(own_.sequence() + 1);
   return due_announcement{contacts_.All(now), own_};
 }
 
+due_announcement announcer::Leave(absl::Time now) {
+  own_.set_sequence(own_.sequence() + 1);
+  own_.set_leaving(true);
+  return {contacts_.All(now), own_};
+}
+
 }  // namespace cardamomroute
--- a/src/directory/announcer.h
+++ b/src/directory/announcer.h
@@ -16,6 +16,9 @@
 /// How often an agent announces its upstream while nothing changes.
 inline constexpr absl::Duration kAnnouncementInterval = absl::Milliseconds(500);
 
+/// The same until a member has answered.
+inline constexpr absl::Duration kFirstAnnouncements = absl::Milliseconds(100);
+
 /// An announcement and whom it goes to.
 struct due_announcement {
   std::vector<ipv4_address> to;
@@ -39,6 +42,9 @@
 
   void OnAnswer(const inner::announcement_answer& answer, absl::Time now);
 
+  /// What is to be sent as the last thing, where the upstream has ended.
+  due_announcement Leave(absl::Time now);
+
   /// What is to be sent now, if anything.
   std::optional<due_announcement> Due(absl::Time now);
 
@@ -49,6 +55,7 @@
   inner::announcement own_;
   control_contacts contacts_;
   absl::Time next_ = absl::InfinitePast();
+  bool is_answered_ = false;
 };
 
 }  // namespace cardamomroute
--- a/src/directory/directory_follower.cc
+++ b/src/directory/directory_follower.cc
@@ -33,7 +33,9 @@
     return due;
   }
   NoteMembers(now);
-  next_ = now + kPollTimeout;
+  const absl::Duration timeout =
+      IsComplete() ? kPollTimeout : kFirstPollTimeout;
+  next_ = now + timeout;
   for (auto& [address, asked] : members_) {
     if (asked.answers && now >= asked.heard_at + kMemberSay) {
       asked.answers = false;
@@ -46,7 +48,7 @@
       continue;
     }
     asked.poll = next_poll_ += 2;
-    asked.due = now + kPollTimeout;
+    asked.due = now + timeout;
     due_poll& sent = due.emplace_back();
     sent.to = address;
     sent.poll.set_poll(asked.poll);
@@ -79,7 +81,8 @@
   contacts_.OnNamed(page.members(), now);
   TakeUpstreams(page, &teller);
   const bool more = TakeRoutes(page) || page.more();
-  teller.due = more ? now : now + kPollInterval;
+  const absl::Duration pause = IsComplete() ? kPollInterval : kFirstPollTimeout;
+  teller.due = more ? now : now + pause;
   next_ = std::min(next_, teller.due);
 }
 
@@ -102,7 +105,9 @@
     }
     list_changed_ = true;
   }
-  has_list_ = has_list_ || !page.more();
+  teller->listed = !page.more();
+  teller->age = absl::Milliseconds(page.member_age_ms());
+  has_list_ = has_list_ || (teller->listed && teller->age >= kListAge);
 }
 
 // True where more of them is to be asked for at once.
@@ -137,6 +142,13 @@
   return false;
 }
 
+bool directory_follower::IsSettled() const {
+  return std::any_of(members_.begin(), members_.end(), [](const auto& entry) {
+    const member& teller = entry.second;
+    return teller.answers && teller.listed && teller.age >= kSettledAge;
+  });
+}
+
 const followed_routes* directory_follower::TakeNewRoutes() {
   return std::exchange(routes_changed_, false) ? &routes_ : nullptr;
 }
--- a/src/directory/directory_follower.h
+++ b/src/directory/directory_follower.h
@@ -9,6 +9,7 @@
 #include "absl/container/btree_map.h"
 #include "absl/time/time.h"
 #include "base/ipv4_address.h"
+#include "directory/announcer.h"
 #include "directory/control_contacts.h"
 #include "directory/known_upstream.h"
 #include "inner/configuration.pb.h"
@@ -22,6 +23,17 @@
 /// When an unanswered poll is repeated.
 inline constexpr absl::Duration kPollTimeout = absl::Milliseconds(300);
 
+/// The same while the balancer has not got all that it needs.
+inline constexpr absl::Duration kFirstPollTimeout = absl::Milliseconds(100);
+
+/// A member whose process is younger than that may not have heard of all
+/// agents: they announce themselves anew within two intervals at the start.
+inline constexpr absl::Duration kListAge = absl::Milliseconds(200);
+
+/// The same where an agent that is missing would do harm: they were answered
+/// before and announce themselves at the usual interval.
+inline constexpr absl::Duration kSettledAge = absl::Seconds(1);
+
 /// A member that has not answered for this long has no say about who is
 /// silent, unless no other one answers either.
 inline constexpr absl::Duration kMemberSay = absl::Seconds(2);
@@ -69,6 +81,9 @@
   /// True once it knows routes and a member's whole list of upstreams.
   bool IsComplete() const { return routes_.version != 0 && has_list_; }
 
+  /// True where the list of upstreams lacks none whose agent goes on.
+  bool IsSettled() const;
+
   uint64_t routes_version() const { return routes_.version; }
 
  private:
@@ -80,6 +95,10 @@
     absl::Time due = absl::InfinitePast();
     absl::Time heard_at = absl::InfinitePast();
     bool answers = false;
+    /// Of its process at its last answer.
+    absl::Duration age;
+    /// All of its list is here.
+    bool listed = false;
     absl::btree_map<ipv4_address, inner::upstream_record> upstreams;
   };
 
--- a/src/directory/node_directory.cc
+++ b/src/directory/node_directory.cc
@@ -1,6 +1,7 @@
 #include "directory/node_directory.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "base/log.h"
 
@@ -10,7 +11,7 @@
 bool IsSame(const inner::announcement& a, const inner::announcement& b) {
   return a.incarnation() == b.incarnation() && a.state() == b.state() &&
          a.slots() == b.slots() && a.service() == b.service() &&
-         a.zone() == b.zone();
+         a.zone() == b.zone() && a.leaving() == b.leaving();
 }
 
 // An earlier process at the address, or a message that was overtaken.
@@ -61,7 +62,7 @@
   }
   *known.upstream.mutable_announced() = announced;
   known.upstream.set_silent(false);
-  known.upstream.set_gone(false);
+  known.upstream.set_gone(announced.leaving());
   return answer;
 }
 
@@ -123,6 +124,9 @@
   inner::directory_page page;
   page.set_poll(poll.poll());
   page.set_member_run(run_);
+  page.set_member_age_ms(static_cast<uint32_t>(
+      std::min<int64_t>(absl::ToInt64Milliseconds(now - began_at_),
+                        std::numeric_limits<uint32_t>::max())));
   *page.mutable_members() = members_;
   page.set_from_start(poll.member_run() != run_ ||
                       poll.directory_version() < forgotten_version_);
--- a/src/directory/node_directory.h
+++ b/src/directory/node_directory.h
@@ -35,7 +35,7 @@
 class node_directory {
  public:
   /// `run` is another one at each start of the process and not 0.
-  explicit node_directory(uint64_t run) : run_(run) {}
+  node_directory(uint64_t run, absl::Time now) : run_(run), began_at_(now) {}
 
   /// The members of the group that answers name.
   void OnMembers(const std::vector<ipv4_address>& members);
@@ -63,6 +63,7 @@
   void AddUpstreams(uint64_t have, inner::directory_page* page) const;
 
   const uint64_t run_;
+  const absl::Time began_at_;
   uint64_t version_ = 1;
   /// Changes up to this version include records that are not kept any more.
   uint64_t forgotten_version_ = 0;
--- a/src/flows/flow_agent.cc
+++ b/src/flows/flow_agent.cc
@@ -21,11 +21,12 @@
     : service_(service), outlet_(outlet) {}
 
 void flow_agent::OnUpstream(upstream_state state, uint32_t slots,
-                            bool heard_from_start) {
+                            bool knows_all_flows, bool has_ended) {
   load_changed_ = load_changed_ || state != state_ || slots != slots_;
   state_ = state;
   slots_ = slots;
-  heard_from_start_ = heard_from_start;
+  knows_all_flows_ = knows_all_flows;
+  has_ended_ = has_ended;
 }
 
 void flow_agent::OnCarried(const ipv4_address& balancer,
@@ -44,7 +45,7 @@
   }
   const auto found = flows_.find(flow);
   if (found == flows_.end()) {
-    if (heard_from_start_) {
+    if (knows_all_flows_) {
       HandBack(balancer, carried.attempt(), BytesOf(carried.packet()),
                inner::RETURN_NOT_HELD);
     } else {
@@ -58,6 +59,10 @@
              inner::RETURN_NOT_HELD);
     return;
   }
+  if (has_ended_ && held.confirmed) {
+    EndLostFlow(found, packet);
+    return;
+  }
   if (held.balancer != balancer) {
     held.balancer = balancer;
     Notify(balancer, flow);
@@ -141,6 +146,22 @@
   outlet_->SendToCaller(flow, bytes);
 }
 
+// The flow was open at this upstream, which does not hold it any more; so no
+// other one holds it.
+void flow_agent::EndLostFlow(flow_map::iterator flow,
+                             const flow_packet& packet) {
+  const flow_id id = flow->first;
+  const bool was_over = flow->second.over;
+  Forget(flow);
+  if (!was_over && !packet.resetting) {
+    log_line(log_level::kInfo, "flow_reset")
+        .With("flow", ToString(id))
+        .With("reason", "upstream-lost-it")
+        .With("upstream", NameOf(state_));
+    outlet_->ResetFlow(id, packet.acknowledged);
+  }
+}
+
 // The upstream does not hold the flow, or takes no new one.
 void flow_agent::OnHandedBack(const flow_packet& packet,
                               absl::Span<const uint8_t> bytes) {
@@ -154,16 +175,7 @@
   const auto found = flows_.find(flow);
   const bool was_open = found != flows_.end() && found->second.confirmed;
   if (was_open && !packet.opening) {
-    // It was open at this upstream, so no other one holds it.
-    const bool has_ended = found->second.over;
-    Forget(found);
-    if (!has_ended && !packet.resetting) {
-      log_line(log_level::kInfo, "flow_reset")
-          .With("flow", ToString(flow))
-          .With("reason", "upstream-lost-it")
-          .With("upstream", NameOf(state_));
-      outlet_->ResetFlow(flow, packet.acknowledged);
-    }
+    EndLostFlow(found, packet);
     return;
   }
   if (found != flows_.end() && !found->second.confirmed) {
--- a/src/flows/flow_agent.h
+++ b/src/flows/flow_agent.h
@@ -42,9 +42,10 @@
   /// `service` is the hash of the name of the upstream's service.
   flow_agent(uint64_t service, agent_outlet* outlet);
 
-  /// What the upstream is at present. `heard_from_start`: it cannot hold a flow
-  /// that this process has not seen.
-  void OnUpstream(upstream_state state, uint32_t slots, bool heard_from_start);
+  /// What the upstream is at present. `knows_all_flows`: it cannot hold a flow
+  /// that this process has not seen. `has_ended`: it holds none any more.
+  void OnUpstream(upstream_state state, uint32_t slots, bool knows_all_flows,
+                  bool has_ended);
 
   /// A packet from a balancer; `packet` is the head of carried.packet().
   void OnCarried(const ipv4_address& balancer,
@@ -93,6 +94,7 @@
   bool IsOfThisFlow(const held_flow& held, const flow_packet& packet) const;
   void Deliver(const ipv4_address& balancer,
                const inner::carried_packet& carried);
+  void EndLostFlow(flow_map::iterator flow, const flow_packet& packet);
   void OnHandedBack(const flow_packet& packet, absl::Span<const uint8_t> bytes);
   void HandBack(const ipv4_address& balancer, uint32_t attempt,
                 absl::Span<const uint8_t> bytes, inner::return_reason reason);
@@ -109,7 +111,8 @@
   agent_outlet* const outlet_;
   upstream_state state_ = upstream_state::kAbsent;
   uint32_t slots_ = 1;
-  bool heard_from_start_ = false;
+  bool knows_all_flows_ = false;
+  bool has_ended_ = false;
   flow_map flows_;
   /// Of `flows_`, those that are not over.
   uint32_t open_flows_ = 0;
--- a/src/flows/flow_balancer.cc
+++ b/src/flows/flow_balancer.cc
@@ -61,7 +61,7 @@
   }
   const auto cached = flows_.find(flow);
   if (cached == flows_.end()) {
-    BeginSearch(flow, bytes, now);
+    BeginSearch(flow, packet, bytes, now);
     return;
   }
   const bool ends = packet.finishing || packet.resetting;
@@ -137,7 +137,7 @@
   Send(agent, 0, bytes);
 }
 
-void flow_balancer::BeginSearch(const flow_id& flow,
+void flow_balancer::BeginSearch(const flow_id& flow, const flow_packet& packet,
                                 absl::Span<const uint8_t> bytes,
                                 absl::Time now) {
   const auto before = searches_.find(flow);
@@ -145,11 +145,12 @@
       now >= before->second.asked_at + kSearchPatience) {
     upstreams_.OnUnanswered(before->second.agent, now);
   }
-  Search(flow, bytes, 0, now);
+  Search(flow, packet, bytes, 0, now);
 }
 
-void flow_balancer::Search(const flow_id& flow, absl::Span<const uint8_t> bytes,
-                           uint32_t step, absl::Time now) {
+void flow_balancer::Search(const flow_id& flow, const flow_packet& packet,
+                           absl::Span<const uint8_t> bytes, uint32_t step,
+                           absl::Time now) {
   const flow_route* route = routes_->Find(flow.host);
   if (route == nullptr) {
     return;
@@ -157,11 +158,7 @@
   const ipv4_address agent =
       upstreams_.SearchStep(HashOf(flow), *route, step, now);
   if (agent == ipv4_address()) {
-    // An upstream may still hold it, at an agent that is not known here.
-    log_line(log_level::kInfo, "flow_not_found")
-        .With("flow", ToString(flow))
-        .With("steps", step);
-    searches_.erase(flow);
+    EndSearch(flow, packet, step);
     return;
   }
   log_line(log_level::kInfo, "flow_searched")
@@ -172,6 +169,22 @@
   Send(agent, step + 1, bytes);
 }
 
+// Every agent that was asked has said that its upstream does not hold the flow;
+// one that is silent would not have answered, and the search stood still.
+void flow_balancer::EndSearch(const flow_id& flow, const flow_packet& packet,
+                              uint32_t steps) {
+  searches_.erase(flow);
+  const bool is_nowhere = settled_ && steps > 0 && steps < kSearchedAgents;
+  log_line(log_level::kInfo, "flow_not_found")
+      .With("flow", ToString(flow))
+      .With("steps", steps)
+      .With("settled", settled_)
+      .With("reset", is_nowhere && !packet.resetting);
+  if (is_nowhere && !packet.resetting) {
+    outlet_->ResetFlow(flow, packet.acknowledged);
+  }
+}
+
 void flow_balancer::Send(const ipv4_address& agent, uint32_t attempt,
                          absl::Span<const uint8_t> bytes) {
   inner::carried_packet* carried = datagram_.mutable_carried();
@@ -210,7 +223,7 @@
     return;
   }
   // Attempt 0 is that at the remembered holder.
-  Search(flow, BytesOf(bytes), returned.carried().attempt(), now);
+  Search(flow, packet, BytesOf(bytes), returned.carried().attempt(), now);
 }
 
 void flow_balancer::OnNotice(const ipv4_address& agent,
--- a/src/flows/flow_balancer.h
+++ b/src/flows/flow_balancer.h
@@ -50,6 +50,9 @@
   void OnRoutes(std::shared_ptr<const route_set> routes);
   void OnUpstreams(const std::vector<known_upstream>& known);
 
+  /// Whether the upstreams are all that there are.
+  void OnSettled(bool settled) { settled_ = settled; }
+
   /// A packet of a caller; `bytes` is all of it.
   void OnCallerPacket(const flow_packet& packet,
                       absl::Span<const uint8_t> bytes, absl::Time now);
@@ -92,10 +95,12 @@
   void TryNext(const flow_id& flow, const flow_route& route,
                cached_flow* cached, absl::Span<const uint8_t> bytes,
                absl::Time now);
-  void BeginSearch(const flow_id& flow, absl::Span<const uint8_t> bytes,
-                   absl::Time now);
-  void Search(const flow_id& flow, absl::Span<const uint8_t> bytes,
-              uint32_t step, absl::Time now);
+  void BeginSearch(const flow_id& flow, const flow_packet& packet,
+                   absl::Span<const uint8_t> bytes, absl::Time now);
+  void Search(const flow_id& flow, const flow_packet& packet,
+              absl::Span<const uint8_t> bytes, uint32_t step, absl::Time now);
+  void EndSearch(const flow_id& flow, const flow_packet& packet,
+                 uint32_t steps);
   void Send(const ipv4_address& agent, uint32_t attempt,
             absl::Span<const uint8_t> bytes);
   uint64_t ServiceOf(const ipv4_address& agent) const;
@@ -111,6 +116,7 @@
   absl::flat_hash_map<flow_id, pending_search> searches_;
   /// Filled anew for each packet, so that it keeps its memory.
   inner::flow_datagram datagram_;
+  bool settled_ = false;
   absl::Time next_sweep_ = absl::InfinitePast();
 };
 
--- a/src/flows/upstream_watch.cc
+++ b/src/flows/upstream_watch.cc
@@ -40,6 +40,7 @@
     }
     present_ = sender;
     state_ = upstream_state::kServing;
+    has_ended_ = false;
     heard_from_start_ = beat.sequence <= kFirstBeats;
   }
   sequence_ = beat.sequence;
@@ -54,7 +55,14 @@
 
 void upstream_watch::OnLeave(const std::string& id) {
   if (id == present_.id) {
+    OnEnded();
+  }
+}
+
+void upstream_watch::OnEnded() {
+  if (!present_.id.empty()) {
     state_ = upstream_state::kAbsent;
+    has_ended_ = true;
   }
 }
 
--- a/src/flows/upstream_watch.h
+++ b/src/flows/upstream_watch.h
@@ -37,14 +37,20 @@
   /// The upstream with this id is about to end.
   void OnLeave(const std::string& id);
 
+  /// Nobody listens at the upstream's address any more.
+  void OnEnded();
+
   /// Absent where its heartbeats have ceased.
   upstream_state State(absl::Time now) const;
 
   uint32_t slots() const { return slots_; }
 
-  /// True where the present incarnation was heard from its beginning, so that
-  /// it cannot hold a flow that this process has not seen.
-  bool heard_from_start() const { return heard_from_start_; }
+  /// True where the upstream cannot hold a flow that this process has not seen:
+  /// its present incarnation was heard from its beginning, or has ended.
+  bool KnowsAllFlows() const { return heard_from_start_ || has_ended_; }
+
+  /// True where the present incarnation is known to have ended.
+  bool has_ended() const { return has_ended_; }
 
  private:
   struct incarnation {
@@ -67,6 +73,7 @@
   uint32_t slots_ = 1;
   absl::Time silent_at_ = absl::InfinitePast();
   bool heard_from_start_ = false;
+  bool has_ended_ = false;
 };
 
 }  // namespace cardamomroute
