--- a/src/flows/flow_balancer.cc
+++ b/src/flows/flow_balancer.cc
@@ -145,34 +145,37 @@
       now >= before->second.asked_at + kSearchPatience) {
     upstreams_.OnUnanswered(before->second.agent, now);
   }
-  Search(flow, packet, bytes, 0, now);
+  GoOnSearching(flow, packet, bytes, now);
 }
 
-void flow_balancer::Search(const flow_id& flow, const flow_packet& packet,
-                           absl::Span<const uint8_t> bytes, uint32_t step,
-                           absl::Time now) {
+void flow_balancer::GoOnSearching(const flow_id& flow,
+                                  const flow_packet& packet,
+                                  absl::Span<const uint8_t> bytes,
+                                  absl::Time now) {
   const flow_route* route = routes_->Find(flow.host);
   if (route == nullptr) {
     return;
   }
+  pending_search& search = searches_[flow];
   const ipv4_address agent =
-      upstreams_.SearchStep(HashOf(flow), *route, step, now);
-  if (agent == ipv4_address()) {
-    EndSearch(flow, packet, step);
+      upstreams_.NextToAsk(HashOf(flow), *route, search.denied, now);
+  if (agent == ipv4_address() || search.denied.size() >= kSearchedAgents) {
+    EndSearch(flow, packet);
     return;
   }
   log_line(log_level::kInfo, "flow_searched")
       .With("flow", ToString(flow))
       .With("agent", ToString(ToEndpoint(agent)))
-      .With("step", step);
-  searches_[flow] = {agent, now};
-  Send(agent, step + 1, bytes);
+      .With("denied", search.denied.size());
+  search.agent = agent;
+  search.asked_at = now;
+  Send(agent, static_cast<uint32_t>(search.denied.size()) + 1, bytes);
 }
 
 // Every agent that was asked has said that its upstream does not hold the flow;
 // one that is silent would not have answered, and the search stood still.
-void flow_balancer::EndSearch(const flow_id& flow, const flow_packet& packet,
-                              uint32_t steps) {
+void flow_balancer::EndSearch(const flow_id& flow, const flow_packet& packet) {
+  const size_t steps = searches_[flow].denied.size();
   searches_.erase(flow);
   const bool is_nowhere = settled_ && steps > 0 && steps < kSearchedAgents;
   log_line(log_level::kInfo, "flow_not_found")
@@ -222,8 +225,11 @@
     Send(cached->second.holder, 0, BytesOf(bytes));
     return;
   }
-  // Attempt 0 is that at the remembered holder.
-  Search(flow, packet, BytesOf(bytes), returned.carried().attempt(), now);
+  std::vector<ipv4_address>& denied = searches_[flow].denied;
+  if (std::find(denied.begin(), denied.end(), agent) == denied.end()) {
+    denied.push_back(agent);
+  }
+  GoOnSearching(flow, packet, BytesOf(bytes), now);
 }
 
 void flow_balancer::OnNotice(const ipv4_address& agent,
--- a/src/flows/flow_balancer.h
+++ b/src/flows/flow_balancer.h
@@ -84,10 +84,12 @@
     absl::Time forget_at;
   };
 
-  /// The agent that was asked last whether it holds a flow.
+  /// Agents that were asked whether they hold a flow.
   struct pending_search {
+    /// The last one, and when.
     ipv4_address agent;
     absl::Time asked_at;
+    std::vector<ipv4_address> denied;
   };
 
   void OnOpening(const flow_id& flow, const flow_packet& packet,
@@ -97,10 +99,9 @@
                absl::Time now);
   void BeginSearch(const flow_id& flow, const flow_packet& packet,
                    absl::Span<const uint8_t> bytes, absl::Time now);
-  void Search(const flow_id& flow, const flow_packet& packet,
-              absl::Span<const uint8_t> bytes, uint32_t step, absl::Time now);
-  void EndSearch(const flow_id& flow, const flow_packet& packet,
-                 uint32_t steps);
+  void GoOnSearching(const flow_id& flow, const flow_packet& packet,
+                     absl::Span<const uint8_t> bytes, absl::Time now);
+  void EndSearch(const flow_id& flow, const flow_packet& packet);
   void Send(const ipv4_address& agent, uint32_t attempt,
             absl::Span<const uint8_t> bytes);
   uint64_t ServiceOf(const ipv4_address& agent) const;
--- a/src/flows/upstream_table.cc
+++ b/src/flows/upstream_table.cc
@@ -16,7 +16,6 @@
   bool is_reachable = false;
   bool has_upstream = false;
   uint64_t weight = 0;
-  size_t index = 0;
 
   friend bool operator>(const search_rank& a, const search_rank& b) {
     return std::tie(a.is_reachable, a.has_upstream, a.weight) >
@@ -25,8 +24,7 @@
 };
 
 /// Keeps the `most` highest, highest first.
-template <typename Rank>
-void KeepHighest(size_t most, std::vector<Rank>* ranked) {
+void KeepHighest(size_t most, std::vector<ranked_index>* ranked) {
   const size_t kept = std::min(most, ranked->size());
   std::partial_sort(ranked->begin(),
                     ranked->begin() + static_cast<ptrdiff_t>(kept),
@@ -123,27 +121,31 @@
   return chosen;
 }
 
-ipv4_address upstream_table::SearchStep(uint64_t flow_hash,
-                                        const flow_route& route,
-                                        uint32_t step, absl::Time now) const {
-  std::vector<search_rank> ranked;
-  for (size_t i = 0; i < upstreams_.size(); ++i) {
+ipv4_address upstream_table::NextToAsk(uint64_t flow_hash,
+                                       const flow_route& route,
+                                       absl::Span<const ipv4_address> denied,
+                                       absl::Time now) const {
+  search_rank best;
+  const upstream* next = nullptr;
+  for (const upstream& item : upstreams_) {
     const bool is_possible =
         std::any_of(route.shares.begin(), route.shares.end(),
                     [&](const flow_share& share) {
-                      return share.service == upstreams_[i].service;
+                      return share.service == item.service;
                     });
-    if (is_possible) {
-      const upstream& item = upstreams_[i];
-      ranked.push_back({item.IsReachable(now),
-                        item.known.state != upstream_state::kAbsent,
-                        RendezvousWeight(flow_hash, item.known.agent), i});
+    if (!is_possible || std::find(denied.begin(), denied.end(),
+                                  item.known.agent) != denied.end()) {
+      continue;
+    }
+    const search_rank rank{item.IsReachable(now),
+                           item.known.state != upstream_state::kAbsent,
+                           RendezvousWeight(flow_hash, item.known.agent)};
+    if (next == nullptr || rank > best) {
+      best = rank;
+      next = &item;
     }
   }
-  KeepHighest(kSearchedAgents, &ranked);
-  return step < ranked.size()
-             ? upstreams_[ranked[step].index].known.agent
-             : ipv4_address();
+  return next != nullptr ? next->known.agent : ipv4_address();
 }
 
 }  // namespace cardamomroute
--- a/src/flows/upstream_table.h
+++ b/src/flows/upstream_table.h
@@ -52,11 +52,12 @@
   ipv4_address Place(uint64_t flow_hash, const flow_route& route,
                      absl::Span<const ipv4_address> tried, absl::Time now);
 
-  /// The agent to ask in step `step` (from 0) of the search for a flow; a zero
-  /// address once all were asked. Agents that may not answer come last, those
+  /// The agent to ask next in the search for a flow, passing over those that
+  /// have denied it; a zero address where none is left. Agents that may not answer come last, those
   /// whose upstream has gone before them.
-  ipv4_address SearchStep(uint64_t flow_hash, const flow_route& route,
-                          uint32_t step, absl::Time now) const;
+  ipv4_address NextToAsk(uint64_t flow_hash, const flow_route& route,
+                         absl::Span<const ipv4_address> denied,
+                         absl::Time now) const;
 
   size_t size() const { return upstreams_.size(); }
 
