--- a/src/flows/upstream_table.cc
+++ b/src/flows/upstream_table.cc
@@ -13,13 +13,14 @@
 /// Where an upstream stands in the search for a flow; the highest is asked
 /// first.
 struct search_rank {
+  bool is_of_route = false;
   bool is_reachable = false;
   bool has_upstream = false;
   uint64_t weight = 0;
 
   friend bool operator>(const search_rank& a, const search_rank& b) {
-    return std::tie(a.is_reachable, a.has_upstream, a.weight) >
-           std::tie(b.is_reachable, b.has_upstream, b.weight);
+    return std::tie(a.is_reachable, a.is_of_route, a.has_upstream, a.weight) >
+           std::tie(b.is_reachable, b.is_of_route, b.has_upstream, b.weight);
   }
 };
 
@@ -128,16 +129,16 @@
   search_rank best;
   const upstream* next = nullptr;
   for (const upstream& item : upstreams_) {
-    const bool is_possible =
+    const bool is_of_route =
         std::any_of(route.shares.begin(), route.shares.end(),
                     [&](const flow_share& share) {
                       return share.service == item.service;
                     });
-    if (!is_possible || std::find(denied.begin(), denied.end(),
-                                  item.known.agent) != denied.end()) {
+    if (std::find(denied.begin(), denied.end(), item.known.agent) !=
+        denied.end()) {
       continue;
     }
-    const search_rank rank{item.IsReachable(now),
+    const search_rank rank{is_of_route, item.IsReachable(now),
                            item.known.state != upstream_state::kAbsent,
                            RendezvousWeight(flow_hash, item.known.agent)};
     if (next == nullptr || rank > best) {
