--- a/src/directory/announcer.h
+++ b/src/directory/announcer.h
@@ -17,7 +17,7 @@
 inline constexpr absl::Duration kAnnouncementInterval = absl::Milliseconds(500);
 
 /// The same until a member has answered.
-inline constexpr absl::Duration kFirstAnnouncements = absl::Milliseconds(100);
+inline constexpr absl::Duration kFirstAnnouncements = absl::Milliseconds(50);
 
 /// An announcement and whom it goes to.
 struct due_announcement {
--- a/src/directory/directory_follower.h
+++ b/src/directory/directory_follower.h
@@ -24,11 +24,11 @@
 inline constexpr absl::Duration kPollTimeout = absl::Milliseconds(300);
 
 /// The same while the balancer has not got all that it needs.
-inline constexpr absl::Duration kFirstPollTimeout = absl::Milliseconds(100);
+inline constexpr absl::Duration kFirstPollTimeout = absl::Milliseconds(50);
 
 /// A member whose process is younger than that may not have heard of all
 /// agents: they announce themselves anew within two intervals at the start.
-inline constexpr absl::Duration kListAge = absl::Milliseconds(200);
+inline constexpr absl::Duration kListAge = absl::Milliseconds(120);
 
 /// The same where an agent that is missing would do harm: they were answered
 /// before and announce themselves at the usual interval.
