--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -1,7 +1,8 @@
-# cardamomroute_package(NAME [DEPENDS target...])
+# cardamomroute_package(NAME [ONE_TEST] [DEPENDS target...])
 #
 # One folder of src/ as a static library, and each x_test.cc beside it as a
-# test program of its own. Tests of one folder may share helpers named
+# test program of its own; with ONE_TEST all of them as one program, NAME/tests,
+# which is built sooner. Tests of one folder may share helpers named
 # *_test_support.cc, which are linked into each of its test programs.
 
 # Fixed, so that a run of the tests always gives the same verdict.
@@ -16,8 +17,29 @@
 # whole-program cases labelled so in testsuite/CMakeLists.txt.
 add_custom_target(threaded_tests)
 
+# The test program PACKAGE_NAME, listed as PACKAGE/NAME.
+function(cardamomroute_test package name sources support)
+  set(target ${package}_${name})
+  add_executable(${target} ${sources})
+  target_compile_definitions(${target} PRIVATE BOOST_TEST_DYN_LINK)
+  target_link_libraries(${target} PRIVATE
+    ${support} ${package} rapidcheck boost_unit_test_framework)
+  add_test(NAME ${package}/${name} COMMAND ${target})
+  set_tests_properties(${package}/${name} PROPERTIES
+    ENVIRONMENT "RC_PARAMS=${CARDAMOMROUTE_PROPERTY_PARAMETERS}"
+    TIMEOUT 300)
+  add_dependencies(unit_tests ${target})
+  foreach(source ${sources})
+    file(STRINGS ${source} thread_use REGEX "#include <thread>")
+    if(thread_use)
+      add_dependencies(threaded_tests ${target})
+      set_tests_properties(${package}/${name} PROPERTIES LABELS threaded)
+    endif()
+  endforeach()
+endfunction()
+
 function(cardamomroute_package name)
-  cmake_parse_arguments(arg "" "" "DEPENDS" ${ARGN})
+  cmake_parse_arguments(arg "ONE_TEST" "" "DEPENDS" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS *.cc)
   file(GLOB tests CONFIGURE_DEPENDS *_test.cc)
   file(GLOB supports CONFIGURE_DEPENDS *_test_support.cc)
@@ -48,23 +70,17 @@
     target_compile_definitions(${support} PRIVATE BOOST_TEST_DYN_LINK)
     target_link_libraries(${support} PUBLIC ${name} rapidcheck)
   endif()
+  if(arg_ONE_TEST AND tests)
+    list(GET tests 0 first_test)
+    set_source_files_properties(${first_test} PROPERTIES
+      COMPILE_DEFINITIONS BOOST_TEST_MODULE=${name})
+    cardamomroute_test(${name} tests "${tests}" "${support}")
+    return()
+  endif()
   foreach(test_source ${tests})
     get_filename_component(test_name ${test_source} NAME_WE)
-    set(target ${name}_${test_name})
-    add_executable(${target} ${test_source})
-    target_compile_definitions(${target} PRIVATE
-      BOOST_TEST_DYN_LINK BOOST_TEST_MODULE=${target})
-    target_link_libraries(${target} PRIVATE
-      ${support} ${name} rapidcheck boost_unit_test_framework)
-    add_test(NAME ${name}/${test_name} COMMAND ${target})
-    set_tests_properties(${name}/${test_name} PROPERTIES
-      ENVIRONMENT "RC_PARAMS=${CARDAMOMROUTE_PROPERTY_PARAMETERS}"
-      TIMEOUT 300)
-    add_dependencies(unit_tests ${target})
-    file(STRINGS ${test_source} thread_use REGEX "#include <thread>")
-    if(thread_use)
-      add_dependencies(threaded_tests ${target})
-      set_tests_properties(${name}/${test_name} PROPERTIES LABELS threaded)
-    endif()
+    cardamomroute_test(${name} ${test_name} ${test_source} "${support}")
+    target_compile_definitions(${name}_${test_name} PRIVATE
+      BOOST_TEST_MODULE=${name}_${test_name})
   endforeach()
 endfunction()
--- /dev/null
+++ b/src/directory/directory_test.cc
@@ -0,0 +1,282 @@
+#include <rapidcheck/boost_test.h>
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/concat.h"
+#include "directory/announcer.h"
+#include "directory/directory_follower.h"
+#include "directory/node_directory.h"
+
+namespace cardamomroute {
+namespace {
+
+BOOST_AUTO_TEST_SUITE(directory_test)
+
+constexpr absl::Time kStart = absl::UnixEpoch();
+constexpr ipv4_address kMember{0x0a000001, 7720};
+constexpr ipv4_address kOtherMember{0x0a000002, 7720};
+
+inner::announcement Announced(uint32_t agent, uint64_t incarnation,
+                              uint64_t sequence, upstream_state state) {
+  inner::announcement announced;
+  announced.set_node(Concat("node-", agent));
+  announced.set_incarnation(incarnation);
+  announced.set_sequence(sequence);
+  announced.set_service("desk");
+  announced.set_zone("a");
+  announced.set_ip(agent);
+  announced.set_port(7720);
+  announced.set_state(static_cast<uint32_t>(state));
+  announced.set_slots(2);
+  return announced;
+}
+
+inner::configuration_record Configuration(uint64_t version, size_t routes) {
+  inner::route_list list;
+  for (size_t i = 0; i < routes; ++i) {
+    inner::route_record* route = list.add_routes();
+    route->set_name(Concat("route-", i));
+    route->set_port(static_cast<uint32_t>(i));
+  }
+  inner::configuration_record record;
+  record.set_version(version);
+  record.set_routes(list.SerializeAsString());
+  return record;
+}
+
+/// Members of a group and a balancer that follows them.
+struct fixture {
+  // Answers what the balancer asks, over and over, for so long.
+  void Run(absl::Duration length) {
+    const absl::Time end = now + length;
+    while (now < end) {
+      for (const due_poll& due : follower.Due(now)) {
+        const auto asked = members.find(due.to);
+        if (asked != members.end()) {
+          follower.OnPage(due.to,
+                          asked->second.OnPoll(due.poll, in_force, now), now);
+        }
+      }
+      now += absl::Milliseconds(10);
+    }
+  }
+  void Announce(const ipv4_address& member,
+                const inner::announcement& announced) {
+    members.at(member).OnAnnouncement(announced, now);
+  }
+  std::vector<known_upstream> Known() {
+    if (auto latest = follower.TakeNewUpstreams()) {
+      known = *latest;
+    }
+    return known;
+  }
+
+  absl::Time now = kStart;
+  std::map<ipv4_address, node_directory> members = {
+      {kMember, node_directory(1, kStart)}};
+  inner::configuration_record in_force = Configuration(1, 2);
+  directory_follower follower{{kMember, kOtherMember}, 4};
+  std::vector<known_upstream> known;
+};
+
+BOOST_FIXTURE_TEST_CASE(ABalancerGetsAllRoutesAndUpstreams, fixture) {
+  in_force = Configuration(9, 350);
+  for (uint32_t agent = 1; agent <= 60; ++agent) {
+    Announce(kMember, Announced(agent, 1, 1, upstream_state::kServing));
+  }
+  BOOST_TEST(!follower.IsComplete());
+  Run(absl::Seconds(1));
+  BOOST_TEST(follower.IsComplete());
+  const followed_routes* routes = follower.TakeNewRoutes();
+  BOOST_REQUIRE(routes != nullptr);
+  BOOST_TEST(routes->version == 9U);
+  BOOST_TEST(routes->list.routes_size() == 350);
+  BOOST_TEST(follower.TakeNewRoutes() == nullptr);
+  BOOST_TEST(Known().size() == 60U);
+}
+
+BOOST_FIXTURE_TEST_CASE(PagesFitADatagram, fixture) {
+  in_force = Configuration(9, 350);
+  for (uint32_t agent = 1; agent <= 60; ++agent) {
+    Announce(kMember, Announced(agent, 1, 1, upstream_state::kServing));
+  }
+  inner::directory_poll poll;
+  const auto page = members.at(kMember).OnPoll(poll, in_force, now);
+  BOOST_TEST(page.ByteSizeLong() <= 1280U);
+  BOOST_TEST(page.more());
+}
+
+// A member that lags or has started again says less than is known.
+BOOST_FIXTURE_TEST_CASE(RoutesNeverGoBack, fixture) {
+  in_force = Configuration(9, 3);
+  Run(absl::Seconds(1));
+  in_force = Configuration(7, 1);
+  members.at(kMember) = node_directory(2, now);
+  Run(absl::Seconds(1));
+  BOOST_TEST(follower.routes_version() == 9U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AChangeWhileRoutesComeInBeginsAnew, fixture) {
+  in_force = Configuration(2, 350);
+  const due_poll first = follower.Due(now).front();
+  follower.OnPage(first.to,
+                  members.at(kMember).OnPoll(first.poll, in_force, now), now);
+  in_force = Configuration(3, 200);
+  Run(absl::Seconds(1));
+  const followed_routes* routes = follower.TakeNewRoutes();
+  BOOST_REQUIRE(routes != nullptr);
+  BOOST_TEST(routes->version == 3U);
+  BOOST_TEST(routes->list.routes_size() == 200);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnAgentThatCeasesIsSilentThenGone, fixture) {
+  Announce(kMember, Announced(1, 1, 1, upstream_state::kServing));
+  Run(absl::Milliseconds(500));
+  BOOST_REQUIRE(Known().size() == 1U);
+  BOOST_TEST(!Known()[0].silent);
+  Run(absl::Seconds(2));
+  BOOST_REQUIRE(Known().size() == 1U);
+  BOOST_TEST(Known()[0].silent);
+  Run(kSilentLife);
+  BOOST_TEST(Known().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(AnAgentThatLeavesIsGoneAtOnce, fixture) {
+  Announce(kMember, Announced(1, 1, 1, upstream_state::kServing));
+  Run(absl::Milliseconds(500));
+  inner::announcement last = Announced(1, 1, 2, upstream_state::kAbsent);
+  last.set_leaving(true);
+  Announce(kMember, last);
+  Run(absl::Milliseconds(500));
+  BOOST_TEST(Known().empty());
+  // Its address is used again.
+  Announce(kMember, Announced(1, 2, 1, upstream_state::kServing));
+  Run(absl::Milliseconds(500));
+  BOOST_TEST(Known().size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(ALateAnnouncementChangesNothing, fixture) {
+  Announce(kMember, Announced(1, 5, 9, upstream_state::kDraining));
+  Announce(kMember, Announced(1, 5, 8, upstream_state::kServing));
+  Announce(kMember, Announced(1, 4, 99, upstream_state::kServing));
+  Run(absl::Milliseconds(500));
+  BOOST_REQUIRE(Known().size() == 1U);
+  BOOST_TEST((Known()[0].state == upstream_state::kDraining));
+}
+
+// One member cannot reach the agent, or is out of reach itself.
+BOOST_FIXTURE_TEST_CASE(WhatOneMemberHasHeardCounts, fixture) {
+  members.emplace(kOtherMember, node_directory(3, kStart));
+  Announce(kMember, Announced(1, 1, 1, upstream_state::kServing));
+  Announce(kOtherMember, Announced(1, 1, 1, upstream_state::kServing));
+  uint64_t sequence = 1;
+  for (int i = 0; i < 10; ++i) {
+    Announce(kOtherMember,
+             Announced(1, 1, ++sequence, upstream_state::kServing));
+    Run(absl::Milliseconds(400));
+  }
+  BOOST_REQUIRE(Known().size() == 1U);
+  BOOST_TEST(!Known()[0].silent);
+  members.erase(kOtherMember);
+  Run(absl::Seconds(3));
+  BOOST_TEST(Known()[0].silent);
+}
+
+BOOST_FIXTURE_TEST_CASE(AYoungMemberIsNoAuthority, fixture) {
+  now = kStart;
+  members.at(kMember) = node_directory(7, now);
+  Run(absl::Milliseconds(60));
+  BOOST_TEST(!follower.IsComplete());
+  Run(absl::Milliseconds(300));
+  BOOST_TEST(follower.IsComplete());
+  BOOST_TEST(!follower.IsSettled());
+  Run(absl::Seconds(2));
+  BOOST_TEST(follower.IsSettled());
+}
+
+BOOST_FIXTURE_TEST_CASE(AnswersThatWereNotAskedForAreIgnored, fixture) {
+  inner::directory_page page;
+  page.set_configuration_version(99);
+  follower.OnPage(kMember, page, now);
+  Run(absl::Seconds(1));
+  follower.OnPage({9, 9}, page, now);
+  BOOST_TEST(follower.routes_version() == 1U);
+}
+
+// Whatever is announced, lost and repeated, the balancer knows in the end what
+// was announced last.
+RC_BOOST_PROP(ABalancerEndsWithWhatWasAnnouncedLast, ()) {
+  fixture site;
+  std::map<uint32_t, inner::announcement> last;
+  uint64_t sequence = 1;
+  for (int i = 0; i < 40; ++i) {
+    const auto agent = *rc::gen::inRange<uint32_t>(1, 20);
+    const auto state =
+        static_cast<upstream_state>(*rc::gen::inRange<int>(0, 3));
+    const auto incarnation = *rc::gen::inRange<uint64_t>(1, 4);
+    const inner::announcement announced =
+        Announced(agent, incarnation, ++sequence, state);
+    site.Announce(kMember, announced);
+    const auto known = last.find(agent);
+    if (known == last.end() || incarnation >= known->second.incarnation()) {
+      last[agent] = announced;
+    }
+    if (*rc::gen::inRange(0, 8) == 0) {
+      site.Run(absl::Milliseconds(*rc::gen::inRange(1, 100)));
+    }
+  }
+  site.Run(absl::Milliseconds(600));
+  const std::vector<known_upstream> known = site.Known();
+  RC_ASSERT(known.size() == last.size());
+  for (const known_upstream& item : known) {
+    RC_ASSERT(static_cast<uint32_t>(item.state) ==
+              last.at(item.agent.ip).state());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnAgentAnnouncesChangesAtOnce) {
+  announcer own(Announced(1, 1, 0, upstream_state::kAbsent), {kMember});
+  const auto first = own.Due(kStart);
+  BOOST_REQUIRE(first.has_value());
+  BOOST_TEST(!own.Due(kStart).has_value());
+  // Again soon while nobody has answered.
+  BOOST_TEST(own.Due(kStart + kFirstAnnouncements).has_value());
+  inner::announcement_answer answer;
+  answer.set_incarnation(1);
+  inner::control_address* named = answer.add_members();
+  named->set_ip(kOtherMember.ip);
+  named->set_port(kOtherMember.port);
+  own.OnAnswer(answer, kStart);
+  const absl::Time later = kStart + absl::Seconds(1);
+  const auto next = own.Due(later);
+  BOOST_REQUIRE(next.has_value());
+  BOOST_TEST(next->to.size() == 2U);
+  BOOST_TEST(!own.Due(later + kFirstAnnouncements).has_value());
+  own.OnUpstream(upstream_state::kServing, 2);
+  const auto changed = own.Due(later + kFirstAnnouncements);
+  BOOST_REQUIRE(changed.has_value());
+  BOOST_TEST(changed->announced.sequence() > next->announced.sequence());
+}
+
+BOOST_AUTO_TEST_CASE(ContactsAreSeedsAndThoseNamedLately) {
+  control_contacts contacts({kMember});
+  control_contacts::named_members named;
+  inner::control_address* other = named.Add();
+  other->set_ip(kOtherMember.ip);
+  other->set_port(kOtherMember.port);
+  contacts.OnNamed(named, kStart);
+  BOOST_TEST(contacts.All(kStart).size() == 2U);
+  contacts.OnSeeds({{7, 7}});
+  const std::vector<ipv4_address> expected = {{7, 7}, kOtherMember};
+  BOOST_TEST((contacts.All(kStart) == expected));
+  BOOST_TEST(contacts.All(kStart + kContactLife).size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace cardamomroute
--- a/src/directory/node_directory.h
+++ b/src/directory/node_directory.h
@@ -62,8 +62,8 @@
   void NoteSilent(absl::Time now);
   void AddUpstreams(uint64_t have, inner::directory_page* page) const;
 
-  const uint64_t run_;
-  const absl::Time began_at_;
+  uint64_t run_;
+  absl::Time began_at_;
   uint64_t version_ = 1;
   /// Changes up to this version include records that are not kept any more.
   uint64_t forgotten_version_ = 0;
--- /dev/null
+++ b/src/flows/flow_balancer_test.cc
@@ -0,0 +1,252 @@
+#include "flows/flow_balancer.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "flows/balancer_outlet.h"
+
+namespace cardamomroute {
+namespace {
+
+BOOST_AUTO_TEST_SUITE(flow_balancer_test)
+
+constexpr absl::Time kStart = absl::UnixEpoch();
+constexpr ipv4_address kHost{0xc6120001, 443};
+constexpr ipv4_address kCaller{0x64400007, 40001};
+
+/// Records what a balancer sends.
+class recorder : public balancer_outlet {
+ public:
+  void SendToAgent(const ipv4_address& agent,
+                   const inner::flow_datagram& datagram) override {
+    sent.emplace_back(agent, datagram);
+  }
+  void ResetFlow(const flow_id& /*flow*/, uint32_t sequence) override {
+    resets.push_back(sequence);
+  }
+
+  std::vector<std::pair<ipv4_address, inner::flow_datagram>> sent;
+  std::vector<uint32_t> resets;
+};
+
+ipv4_address Agent(uint32_t number) { return {0x0a000000 + number, 7720}; }
+
+known_upstream Upstream(uint32_t number, const std::string& service = "desk") {
+  known_upstream item;
+  item.agent = Agent(number);
+  item.service = service;
+  item.state = upstream_state::kServing;
+  item.slots = 2;
+  return item;
+}
+
+std::shared_ptr<const route_set> Routes(uint64_t version, bool with_route) {
+  inner::route_list list;
+  if (with_route) {
+    inner::route_record* route = list.add_routes();
+    route->set_host(kHost.ip);
+    route->set_port(kHost.port);
+    inner::route_share* share = route->add_shares();
+    share->set_service("desk");
+    share->set_weight(1);
+  }
+  return std::make_shared<const route_set>(version, list);
+}
+
+flow_packet Opening(uint32_t copy = 0) {
+  flow_packet packet;
+  packet.source = kCaller;
+  packet.destination = kHost;
+  packet.opening = true;
+  packet.acknowledged = copy;
+  return packet;
+}
+
+flow_packet Data() {
+  flow_packet packet = Opening();
+  packet.opening = false;
+  packet.acknowledges = true;
+  packet.acknowledged = 501;
+  packet.length = 1;
+  return packet;
+}
+
+struct fixture {
+  fixture() : balancer(&out) {
+    balancer.OnRoutes(Routes(1, true));
+    balancer.OnUpstreams({Upstream(1), Upstream(2), Upstream(3)});
+    balancer.OnSettled(true);
+  }
+
+  void Take(const flow_packet& packet, absl::Time now = kStart) {
+    balancer.OnCallerPacket(packet, {}, now);
+  }
+  void HandBack(const ipv4_address& agent, const flow_packet& packet,
+                absl::Time now = kStart) {
+    balancer.OnReturned(agent, {}, packet, now);
+  }
+  const ipv4_address& LastAgent() const { return out.sent.back().first; }
+
+  recorder out;
+  flow_balancer balancer;
+};
+
+BOOST_FIXTURE_TEST_CASE(ACopyOfAnUnansweredOpeningGoesElsewhere, fixture) {
+  Take(Opening());
+  const ipv4_address first = LastAgent();
+  Take(Opening(1));
+  BOOST_TEST((LastAgent() != first));
+  BOOST_TEST(out.resets.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(ACopyOfAnAnsweredOpeningGoesToTheSameAgent, fixture) {
+  Take(Opening());
+  const ipv4_address first = LastAgent();
+  inner::flow_notice notice;
+  notice.set_caller_ip(kCaller.ip);
+  notice.set_caller_port(kCaller.port);
+  notice.set_host_ip(kHost.ip);
+  notice.set_host_port(kHost.port);
+  balancer.OnNotice(first, notice, kStart);
+  Take(Opening(1));
+  BOOST_TEST((LastAgent() == first));
+  Take(Data());
+  BOOST_TEST((LastAgent() == first));
+}
+
+// Nobody takes it: the caller is told at once, and once.
+BOOST_FIXTURE_TEST_CASE(AnOpeningThatAllRefuseIsReset, fixture) {
+  Take(Opening());
+  for (size_t i = 0; i < kOpeningTries; ++i) {
+    BOOST_TEST(out.resets.empty());
+    HandBack(LastAgent(), Opening());
+  }
+  BOOST_TEST(out.resets.size() == 1U);
+  BOOST_TEST(out.sent.size() == kOpeningTries);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnOpeningWithoutARouteIsReset, fixture) {
+  flow_packet packet = Opening();
+  packet.destination.port = 444;
+  Take(packet);
+  BOOST_TEST(out.resets.size() == 1U);
+  BOOST_TEST(out.sent.empty());
+}
+
+// Other packets may belong to a route that this balancer has not heard of yet.
+BOOST_FIXTURE_TEST_CASE(AnUnknownFlowWithoutARouteIsLeftAlone, fixture) {
+  flow_packet packet = Data();
+  packet.destination.port = 444;
+  Take(packet);
+  BOOST_TEST(out.resets.empty());
+  BOOST_TEST(out.sent.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(AFlowOfARemovedRouteIsReset, fixture) {
+  Take(Opening());
+  balancer.OnRoutes(Routes(2, false));
+  Take(Data());
+  BOOST_REQUIRE(out.resets.size() == 1U);
+  BOOST_TEST(out.resets.front() == 501U);
+  balancer.OnRoutes(Routes(3, true));
+  Take(Data());
+  BOOST_TEST(out.resets.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(WithoutRoutesNothingIsReset) {
+  recorder out;
+  flow_balancer balancer(&out);
+  balancer.OnCallerPacket(Opening(), {}, kStart);
+  balancer.OnCallerPacket(Data(), {}, kStart);
+  BOOST_TEST(out.resets.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(AFlowThatAllDenyIsReset, fixture) {
+  Take(Data());
+  HandBack(LastAgent(), Data());
+  HandBack(LastAgent(), Data());
+  BOOST_TEST(out.resets.empty());
+  HandBack(LastAgent(), Data());
+  BOOST_TEST(out.resets.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AFlowIsNotResetWhileTheListMayLackUpstreams, fixture) {
+  balancer.OnSettled(false);
+  Take(Data());
+  for (int i = 0; i < 3; ++i) {
+    HandBack(LastAgent(), Data());
+  }
+  BOOST_TEST(out.resets.empty());
+}
+
+// The order of a search changes while it goes on; each agent is asked once.
+BOOST_FIXTURE_TEST_CASE(ASearchAsksEveryAgentWhateverChangesMeanwhile,
+                        fixture) {
+  Take(Data());
+  std::vector<ipv4_address> asked = {LastAgent()};
+  known_upstream silent = Upstream(1);
+  silent.silent = true;
+  HandBack(LastAgent(), Data());
+  asked.push_back(LastAgent());
+  balancer.OnUpstreams({silent, Upstream(2), Upstream(3)});
+  HandBack(LastAgent(), Data());
+  if (out.resets.empty()) {
+    asked.push_back(LastAgent());
+  }
+  std::sort(asked.begin(), asked.end());
+  const std::vector<ipv4_address> all = {Agent(1), Agent(2), Agent(3)};
+  BOOST_TEST((asked == all));
+}
+
+// The route's service may have been another one when the flow was opened.
+BOOST_FIXTURE_TEST_CASE(ASearchAsksOtherServicesToo, fixture) {
+  balancer.OnUpstreams({Upstream(1), Upstream(2, "files")});
+  Take(Data());
+  BOOST_TEST((LastAgent() == Agent(1)));
+  HandBack(Agent(1), Data());
+  BOOST_TEST((LastAgent() == Agent(2)));
+  BOOST_TEST(out.resets.empty());
+  HandBack(Agent(2), Data());
+  BOOST_TEST(out.resets.size() == 1U);
+}
+
+// The agent of a VM that has gone does not answer.
+BOOST_FIXTURE_TEST_CASE(ASilentAgentDoesNotHoldUpTheSearch, fixture) {
+  Take(Data());
+  const ipv4_address mute = LastAgent();
+  Take(Data(), kStart + absl::Milliseconds(200));
+  BOOST_TEST((LastAgent() != mute));
+  HandBack(LastAgent(), Data(), kStart + absl::Milliseconds(201));
+  HandBack(LastAgent(), Data(), kStart + absl::Milliseconds(202));
+  // It is asked again as the last one, and nothing is certain without it.
+  BOOST_TEST((LastAgent() == mute));
+  BOOST_TEST(out.resets.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(OpeningsPassOverThoseThatDrain, fixture) {
+  known_upstream draining = Upstream(1);
+  draining.state = upstream_state::kDraining;
+  known_upstream absent = Upstream(2);
+  absent.state = upstream_state::kAbsent;
+  balancer.OnUpstreams({draining, absent, Upstream(3)});
+  Take(Opening());
+  BOOST_TEST((LastAgent() == Agent(3)));
+}
+
+BOOST_FIXTURE_TEST_CASE(FlowsAreForgottenInTime, fixture) {
+  Take(Opening());
+  BOOST_TEST(balancer.cached_flows() == 1U);
+  flow_packet end = Data();
+  end.finishing = true;
+  Take(end);
+  balancer.Tick(kStart + kEndedFlowLife);
+  BOOST_TEST(balancer.cached_flows() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace cardamomroute
