--- a/src/cardamomroute/control_member.h
+++ b/src/cardamomroute/control_member.h
@@ -138,8 +138,7 @@
   void Members(const std::string& client,
                const inner::operator_request& request, absl::Time now);
   void PutConfiguration(const std::string& client,
-                        const inner::operator_request& request,
-                        absl::Time now);
+                        const inner::operator_request& request, absl::Time now);
   void ShowConfiguration(const std::string& client,
                          const inner::operator_request& request,
                          absl::Time now);
--- a/src/cardamomroute/control_member_answers.cc
+++ b/src/cardamomroute/control_member_answers.cc
@@ -234,11 +234,12 @@
     } else if (outcome.submission) {
       AnswerOutcome(operation.client, *outcome.submission, now);
     } else {
+      // Only configurations come with a number.
+      const bool is_put = operation.request != 0;
       inner::operator_answer answer;
-      answer.set_code(kOk);
-      answer.set_version(operation.request != 0
-                             ? state_.Configuration()->version()
-                             : state_.View().version);
+      answer.set_code(is_put ? kAccepted : kOk);
+      answer.set_version(is_put ? state_.Configuration()->version()
+                                : state_.View().version);
       answer.set_request(operation.request);
       Reply(operation.client, std::move(answer));
     }
--- a/src/cardamomroute/datagram_batch.cc
+++ b/src/cardamomroute/datagram_batch.cc
@@ -66,7 +66,8 @@
 void datagram_batch::PrepareSend(sa_family_t family) {
   for (size_t i = 0; i < used_; ++i) {
     if (family == AF_INET) {
-      ipv4_addresses_[i] = ToIpv4SocketAddress(FromSocketAddress(addresses_[i]));
+      ipv4_addresses_[i] =
+          ToIpv4SocketAddress(FromSocketAddress(addresses_[i]));
     }
     PointAt(family, i);
   }
--- a/src/cardamomroute/local_control.h
+++ b/src/cardamomroute/local_control.h
@@ -43,9 +43,9 @@
   std::vector<inner::operator_request> TakeRequests();
   void Answer(inner::operator_answer answer);
   /// Tells of the state, where it has changed.
-  void Publish(const control::shared_configuration& configuration,
-               const google::protobuf::RepeatedPtrField<inner::member_record>&
-                   members);
+  void Publish(
+      const control::shared_configuration& configuration,
+      const google::protobuf::RepeatedPtrField<inner::member_record>& members);
 
  private:
   wake_signal submitted_;
--- a/src/cardamomroute/operator_gateway.cc
+++ b/src/cardamomroute/operator_gateway.cc
@@ -42,9 +42,8 @@
   if (found == waiting_.end()) {
     return;
   }
-  const bool is_elsewhere =
-      answer.code() == CodeOf(error_kind::kNotLeader) &&
-      !answer.leader().empty();
+  const bool is_elsewhere = answer.code() == CodeOf(error_kind::kNotLeader) &&
+                            !answer.leader().empty();
   if (!IsServed(answer) && !is_elsewhere) {
     found->second.last = answer;
     found->second.due = now + kGatewayRetry;
--- a/src/cardamomroute/udp_socket.cc
+++ b/src/cardamomroute/udp_socket.cc
@@ -125,7 +125,8 @@
   if (received < 0 && errno == ECONNREFUSED) {
     refused_ = true;
   }
-  batch->FinishReceive(family_, received > 0 ? static_cast<size_t>(received) : 0);
+  batch->FinishReceive(family_,
+                       received > 0 ? static_cast<size_t>(received) : 0);
   return batch->size();
 }
 
--- a/src/control/control_state.h
+++ b/src/control/control_state.h
@@ -36,8 +36,7 @@
 };
 
 /// Routes are shared with those who serve them to nodes.
-using shared_configuration =
-    std::shared_ptr<const inner::configuration_record>;
+using shared_configuration = std::shared_ptr<const inner::configuration_record>;
 
 /// The text in force.
 struct text_in_force {
--- a/src/control/log_store_test.cc
+++ b/src/control/log_store_test.cc
@@ -326,6 +326,32 @@
   }
 }
 
+// A note may be lost with the power, and then an earlier one counts; it never
+// says more than was noted.
+RC_BOOST_PROP(CommittedEntriesAreRemembered, (uint32_t seed)) {
+  fake_file_system files;
+  uint64_t promised = 0;
+  uint64_t noted = 0;
+  {
+    const auto store = MustOpen(&files);
+    RC_ASSERT(
+        store->Save(hard_state{3, 1}, {{1, 2, "a"}, {2, 3, "b"}}).has_value());
+    files.LosePowerAfter(*rc::gen::inRange<uint64_t>(0, 8));
+    for (uint64_t index = 1; index <= 2; ++index) {
+      noted = index;
+      if (!store->SaveCommitted(index)) {
+        break;
+      }
+      promised = index;
+    }
+  }
+  files.Restart(seed);
+  const stored_state state = MustOpen(&files)->TakeRecovered();
+  RC_ASSERT(state.committed >= promised);
+  RC_ASSERT(state.committed <= noted);
+  RC_ASSERT(state.entries.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(OneFolderServesOneProcess) {
   fake_file_system files;
   const auto first = log_store::Open(&files, kFolder, kMember);
--- a/src/control/raft_core_alone_test.cc
+++ b/src/control/raft_core_alone_test.cc
@@ -201,6 +201,26 @@
   BOOST_TEST((core.Role() == raft_role::kLeader));
 }
 
+// What the disk knows to be committed is handed out without a leader, and no
+// more than there is.
+BOOST_AUTO_TEST_CASE(CommittedEntriesAreHandedOutAtStart) {
+  inner::membership_record founder;
+  for (const member_id id : {1, 2, 3}) {
+    inner::member_record* member = founder.add_members();
+    member->set_id(id);
+    member->set_role(inner::VOTER);
+  }
+  recovered_state state = FoundingState(founder);
+  state.entries = {Entry(2, 1), Entry(3, 1)};
+  for (const uint64_t committed : {0U, 2U, 3U, 9U}) {
+    state.committed = committed;
+    raft_core core(raft_options{1}, state, 1, absl::FromUnixSeconds(1000));
+    const size_t expected = std::clamp<uint64_t>(committed, 1, 3) - 1;
+    BOOST_TEST(core.TakeReady().committed.size() == expected);
+    BOOST_TEST(core.CommitIndex() == expected + 1);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ASnapshotReplacesNoAcknowledgedEntry) {
   lone_core lone(lone_core::FiveVoters());
   inner::raft_message append = lone.From(2);
--- a/src/directory/control_contacts.h
+++ b/src/directory/control_contacts.h
@@ -24,8 +24,8 @@
 /// members that answers have named.
 class control_contacts {
  public:
-  using named_members = google::protobuf::RepeatedPtrField<
-      inner::control_address>;
+  using named_members =
+      google::protobuf::RepeatedPtrField<inner::control_address>;
 
   explicit control_contacts(std::vector<ipv4_address> seeds);
 
--- a/src/directory/directory_follower.cc
+++ b/src/directory/directory_follower.cc
@@ -153,7 +153,8 @@
   return std::exchange(routes_changed_, false) ? &routes_ : nullptr;
 }
 
-std::optional<std::vector<known_upstream>> directory_follower::TakeNewUpstreams() {
+std::optional<std::vector<known_upstream>>
+directory_follower::TakeNewUpstreams() {
   if (!std::exchange(list_changed_, false)) {
     return std::nullopt;
   }
@@ -184,8 +185,7 @@
       best& known = latest[agent];
       const inner::announcement& told = record.announced();
       const bool is_later =
-          known.announced == nullptr ||
-          (!known.heard && !record.silent()) ||
+          known.announced == nullptr || (!known.heard && !record.silent()) ||
           (known.heard == !record.silent() &&
            std::make_pair(told.incarnation(), told.sequence()) >
                std::make_pair(known.announced->incarnation(),
--- a/src/directory/directory_test.cc
+++ b/src/directory/directory_test.cc
@@ -57,8 +57,8 @@
       for (const due_poll& due : follower.Due(now)) {
         const auto asked = members.find(due.to);
         if (asked != members.end()) {
-          follower.OnPage(due.to,
-                          asked->second.OnPoll(due.poll, in_force, now), now);
+          follower.OnPage(due.to, asked->second.OnPoll(due.poll, in_force, now),
+                          now);
         }
       }
       now += absl::Milliseconds(10);
--- a/src/directory/node_directory.cc
+++ b/src/directory/node_directory.cc
@@ -39,8 +39,8 @@
   answer.set_incarnation(announced.incarnation());
   answer.set_sequence(announced.sequence());
   *answer.mutable_members() = members_;
-  record& known = records_[{announced.ip(),
-                            static_cast<uint16_t>(announced.port())}];
+  record& known =
+      records_[{announced.ip(), static_cast<uint16_t>(announced.port())}];
   const bool is_new = known.version == 0;
   // The clock that incarnations come from may have gone back: a process that
   // is heard takes over from one that is silent.
--- a/src/directory/node_directory.h
+++ b/src/directory/node_directory.h
@@ -17,8 +17,7 @@
 
 /// An agent that was not heard for this long is silent: three announcements
 /// and a network delay.
-inline constexpr absl::Duration kAnnouncementLease =
-    absl::Milliseconds(1800);
+inline constexpr absl::Duration kAnnouncementLease = absl::Milliseconds(1800);
 
 /// A silent agent is gone after this time, the life of a flow: until then its
 /// upstream may still hold flows. Balancers are told for as long again.
--- a/src/flows/flow_agent.cc
+++ b/src/flows/flow_agent.cc
@@ -181,9 +181,9 @@
   if (found != flows_.end() && !found->second.confirmed) {
     Forget(found);
   }
-  HandBack(sent.balancer, sent.attempt, bytes,
-           packet.opening ? inner::RETURN_NO_NEW_FLOWS
-                          : inner::RETURN_NOT_HELD);
+  HandBack(
+      sent.balancer, sent.attempt, bytes,
+      packet.opening ? inner::RETURN_NO_NEW_FLOWS : inner::RETURN_NOT_HELD);
 }
 
 void flow_agent::HandBack(const ipv4_address& balancer, uint32_t attempt,
--- a/src/flows/flow_balancer.cc
+++ b/src/flows/flow_balancer.cc
@@ -70,8 +70,7 @@
 }
 
 void flow_balancer::OnOpening(const flow_id& flow, const flow_packet& packet,
-                              absl::Span<const uint8_t> bytes,
-                              absl::Time now) {
+                              absl::Span<const uint8_t> bytes, absl::Time now) {
   const flow_route* route = routes_->Find(flow.host);
   if (route == nullptr) {
     // Without any routes it is not known what there is.
@@ -233,8 +232,7 @@
 }
 
 void flow_balancer::OnNotice(const ipv4_address& agent,
-                             const inner::flow_notice& notice,
-                             absl::Time now) {
+                             const inner::flow_notice& notice, absl::Time now) {
   const flow_id flow{
       {notice.caller_ip(), static_cast<uint16_t>(notice.caller_port())},
       {notice.host_ip(), static_cast<uint16_t>(notice.host_port())}};
--- a/src/flows/flow_world_test_support.cc
+++ b/src/flows/flow_world_test_support.cc
@@ -27,8 +27,7 @@
 }
 
 flow_packet DecodeText(const std::string& bytes) {
-  return Decode(
-      {reinterpret_cast<const uint8_t*>(bytes.data()), bytes.size()});
+  return Decode({reinterpret_cast<const uint8_t*>(bytes.data()), bytes.size()});
 }
 
 std::string ServiceName(size_t service) { return Concat("service-", service); }
@@ -101,9 +100,8 @@
 
   void SendToCaller(const flow_id& /*flow*/,
                     absl::Span<const uint8_t> bytes) override {
-    world_->Post([world = world_, packet = Decode(bytes)] {
-      world->AtCaller(packet);
-    });
+    world_->Post(
+        [world = world_, packet = Decode(bytes)] { world->AtCaller(packet); });
   }
 
   void SendToBalancer(const ipv4_address& balancer,
@@ -112,9 +110,9 @@
     world_->Post([world = world_, to, from = Address(), datagram] {
       flow_balancer& core = world->balancers_.at(to)->core;
       if (datagram.has_returned()) {
-        core.OnReturned(
-            from, datagram.returned(),
-            DecodeText(datagram.returned().carried().packet()), world->now_);
+        core.OnReturned(from, datagram.returned(),
+                        DecodeText(datagram.returned().carried().packet()),
+                        world->now_);
       } else if (datagram.has_notice()) {
         core.OnNotice(from, datagram.notice(), world->now_);
       } else if (datagram.has_load()) {
@@ -163,9 +161,9 @@
     return;
   }
   if (random_() % 100 < wanted_.late && !messages_.empty()) {
-    messages_.insert(
-        messages_.begin() + static_cast<ptrdiff_t>(random_() % messages_.size()),
-        std::move(deliver));
+    messages_.insert(messages_.begin() +
+                         static_cast<ptrdiff_t>(random_() % messages_.size()),
+                     std::move(deliver));
   } else {
     messages_.push_back(std::move(deliver));
   }
--- a/src/flows/upstream_table.cc
+++ b/src/flows/upstream_table.cc
@@ -129,11 +129,9 @@
   search_rank best;
   const upstream* next = nullptr;
   for (const upstream& item : upstreams_) {
-    const bool is_of_route =
-        std::any_of(route.shares.begin(), route.shares.end(),
-                    [&](const flow_share& share) {
-                      return share.service == item.service;
-                    });
+    const bool is_of_route = std::any_of(
+        route.shares.begin(), route.shares.end(),
+        [&](const flow_share& share) { return share.service == item.service; });
     if (std::find(denied.begin(), denied.end(), item.known.agent) !=
         denied.end()) {
       continue;
--- a/src/flows/upstream_table.h
+++ b/src/flows/upstream_table.h
@@ -53,9 +53,9 @@
                      absl::Span<const ipv4_address> tried, absl::Time now);
 
   /// The agent to ask next in the search for a flow, passing over those that
-  /// have denied it; a zero address where none is left. Agents that may not answer come last. Those
-  /// of the route's services come first, but a flow may be held by a service
-  /// that the route had in an older configuration.
+  /// have denied it; a zero address where none is left. Agents that may not
+  /// answer come last. Those of the route's services come first, but a flow may
+  /// be held by a service that the route had in an older configuration.
   ipv4_address NextToAsk(uint64_t flow_hash, const flow_route& route,
                          absl::Span<const ipv4_address> denied,
                          absl::Time now) const;
--- a/src/flows/upstream_watch_test.cc
+++ b/src/flows/upstream_watch_test.cc
@@ -45,8 +45,8 @@
   watch.OnBeat(Beat("a", 10, 5, true), kStart);
   // Overtaken, repeated, or contradicted later.
   for (const uint64_t sequence : {4U, 5U}) {
-    BOOST_TEST((watch.OnBeat(Beat("a", 10, sequence), kStart) ==
-                beat_outcome::kLate));
+    BOOST_TEST(
+        (watch.OnBeat(Beat("a", 10, sequence), kStart) == beat_outcome::kLate));
   }
   watch.OnBeat(Beat("a", 10, 6), kStart);
   BOOST_TEST((watch.State(kStart) == upstream_state::kDraining));
@@ -58,14 +58,13 @@
   watch.OnBeat(Beat("a", 10, 7), kStart);
   BOOST_TEST(!watch.KnowsAllFlows());
   watch.OnBeat(Beat("b", 20, 1), kStart);
-  BOOST_TEST((watch.OnBeat(Beat("a", 10, 8, true), kStart) ==
-              beat_outcome::kLate));
+  BOOST_TEST(
+      (watch.OnBeat(Beat("a", 10, 8, true), kStart) == beat_outcome::kLate));
   BOOST_TEST((watch.State(kStart) == upstream_state::kServing));
   // The same id again, with its counts begun anew.
   BOOST_TEST((watch.OnBeat(Beat("b", 30, 1), kStart) ==
               beat_outcome::kNewIncarnation));
-  BOOST_TEST(
-      (watch.OnBeat(Beat("b", 20, 99), kStart) == beat_outcome::kLate));
+  BOOST_TEST((watch.OnBeat(Beat("b", 20, 99), kStart) == beat_outcome::kLate));
   watch.OnLeave("a");
   BOOST_TEST(!watch.has_ended());
 }
@@ -74,8 +73,7 @@
 BOOST_AUTO_TEST_CASE(TakesALowerStartFromOneThatFollowsASilentOne) {
   upstream_watch watch(kInterval);
   watch.OnBeat(Beat("a", 5000, 7), kStart);
-  BOOST_TEST((watch.OnBeat(Beat("b", 3000, 1), kStart) ==
-              beat_outcome::kLate));
+  BOOST_TEST((watch.OnBeat(Beat("b", 3000, 1), kStart) == beat_outcome::kLate));
   BOOST_TEST((watch.OnBeat(Beat("b", 3000, 2), kStart + 5 * kInterval) ==
               beat_outcome::kNewIncarnation));
 }
