--- a/src/cardamomroute/control_configuration_test.cc
+++ b/src/cardamomroute/control_configuration_test.cc
@@ -48,7 +48,7 @@
       group_->Ask(vm, "operator", Show(request_));
       return;
     }
-    const auto version = static_cast<uint64_t>(1 + Below(12));
+    const auto version = *rc::gen::inRange<uint64_t>(1, 13);
     // The same number may come with other content.
     const std::string document = Concat(version, "-", Below(2));
     sent_[++request_] = {version, document};
--- a/src/flows/flow_agent.cc
+++ b/src/flows/flow_agent.cc
@@ -67,8 +67,10 @@
     held.balancer = balancer;
     Notify(balancer, flow);
   }
-  if (packet.length > 0) {
+  if (packet.length > 0 && !held.busy) {
     SetBusy(&held, true);
+    held.busy_since = now;
+    begun_.emplace_back(now, flow);
   }
   held.caller_finished =
       held.caller_finished || packet.finishing || packet.resetting;
@@ -266,9 +268,22 @@
       }
     }
   }
+  ForgetRequests(now);
   ReportLoad(now);
 }
 
+void flow_agent::ForgetRequests(absl::Time now) {
+  while (!begun_.empty() && now >= begun_.front().first + kLongestRequest) {
+    const auto [since, id] = begun_.front();
+    begun_.pop_front();
+    const auto flow = flows_.find(id);
+    // It may have begun another one since.
+    if (flow != flows_.end() && flow->second.busy_since == since) {
+      SetBusy(&flow->second, false);
+    }
+  }
+}
+
 void flow_agent::ReportLoad(absl::Time now) {
   if (!load_changed_) {
     return;
--- a/src/flows/flow_agent.h
+++ b/src/flows/flow_agent.h
@@ -4,6 +4,8 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
+#include <utility>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
@@ -25,6 +27,10 @@
 /// that come late.
 inline constexpr absl::Duration kFinishedFlowLife = absl::Seconds(5);
 
+/// A request that was not answered for so long is not counted any more: its
+/// caller has gone, mostly without a word.
+inline constexpr absl::Duration kLongestRequest = absl::Seconds(2);
+
 /// How often balancers are told of the load while it changes.
 inline constexpr absl::Duration kLoadInterval = absl::Milliseconds(250);
 
@@ -75,6 +81,8 @@
     bool confirmed = false;
     /// A request waits for its answer.
     bool busy = false;
+    /// When its request went to the upstream.
+    absl::Time busy_since;
     bool caller_finished = false;
     bool upstream_finished = false;
     bool over = false;
@@ -105,6 +113,7 @@
   void SetOver(held_flow* held);
   void SetBusy(held_flow* held, bool busy);
   void Forget(flow_map::iterator flow);
+  void ForgetRequests(absl::Time now);
   void ReportLoad(absl::Time now);
 
   const uint64_t service_;
@@ -117,6 +126,8 @@
   /// Of `flows_`, those that are not over.
   uint32_t open_flows_ = 0;
   uint32_t busy_flows_ = 0;
+  /// Requests that were begun, and when, oldest first.
+  std::deque<std::pair<absl::Time, flow_id>> begun_;
   uint32_t next_mark_ = 1;
   std::array<marked_packet, kMarkedPackets> marked_{};
   /// When each was last heard from.
--- a/src/flows/flow_agent_test.cc
+++ b/src/flows/flow_agent_test.cc
@@ -200,6 +200,17 @@
   BOOST_TEST(agent.busy_flows() == 0U);
 }
 
+// Callers that give up do not say so, and must not count as load for ever.
+BOOST_FIXTURE_TEST_CASE(ForgetsRequestsThatAreNeverAnswered, fixture) {
+  OpenFlow();
+  Carry(FromCaller(false, 77));
+  agent.Tick(kStart + kLongestRequest - absl::Milliseconds(1));
+  BOOST_TEST(agent.busy_flows() == 1U);
+  agent.Tick(kStart + kLongestRequest + kLoadInterval);
+  BOOST_TEST(agent.busy_flows() == 0U);
+  BOOST_TEST(agent.held_flows() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(ForgetsFlowsThatAreOver, fixture) {
   OpenFlow();
   flow_packet end = FromCaller(false, 77);
