--- a/src/flows/flow_balancer.cc
+++ b/src/flows/flow_balancer.cc
@@ -162,7 +162,7 @@
     EndSearch(flow, packet);
     return;
   }
-  log_line(log_level::kInfo, "flow_searched")
+  log_line(log_level::kDebug, "flow_searched")
       .With("flow", ToString(flow))
       .With("agent", ToString(ToEndpoint(agent)))
       .With("denied", search.denied.size());
