--- a/tools/measure_control.py
+++ b/tools/measure_control.py
@@ -147,7 +147,7 @@
         time.sleep(BUSY_INTERVAL_SECONDS)
         if busy:
             turn += 1
-            site.apply(text_with_other_timeouts(site, turn))
+            site.apply(site.changed_text(turn))
     return time.monotonic() - start
 
 
