flows: one function for octets of text; constants have names of their own

The sanitizer builds compile several sources of a package at once, and two private names stood twice (found by that build). base/bytes.h had the function.

--- a/src/flows/flow_agent.cc
+++ b/src/flows/flow_agent.cc
@@ -3,17 +3,15 @@
 #include <algorithm>
 #include <string>
 
+#include "base/bytes.h"
 #include "base/log.h"
 #include "flows/agent_outlet.h"
 
 namespace cardamomroute {
 namespace {
 
-constexpr absl::Duration kSweepInterval = absl::Seconds(1);
-
-absl::Span<const uint8_t> BytesOf(const std::string& bytes) {
-  return {reinterpret_cast<const uint8_t*>(bytes.data()), bytes.size()};
-}
+// How often flows that are over are looked for.
+constexpr absl::Duration kHeldSweepInterval = absl::Seconds(1);
 
 }  // namespace
 
@@ -35,7 +33,7 @@
   balancers_[balancer] = now;
   const flow_id flow = FlowFromCaller(packet);
   if (carried.service() != service_) {
-    HandBack(balancer, carried.attempt(), BytesOf(carried.packet()),
+    HandBack(balancer, carried.attempt(), AsBytes(carried.packet()),
              inner::RETURN_OTHER_SERVICE);
     return;
   }
@@ -46,7 +44,7 @@
   const auto found = flows_.find(flow);
   if (found == flows_.end()) {
     if (knows_all_flows_) {
-      HandBack(balancer, carried.attempt(), BytesOf(carried.packet()),
+      HandBack(balancer, carried.attempt(), AsBytes(carried.packet()),
                inner::RETURN_NOT_HELD);
     } else {
       Deliver(balancer, carried);
@@ -55,7 +53,7 @@
   }
   held_flow& held = found->second;
   if (!IsOfThisFlow(held, packet)) {
-    HandBack(balancer, carried.attempt(), BytesOf(carried.packet()),
+    HandBack(balancer, carried.attempt(), AsBytes(carried.packet()),
              inner::RETURN_NOT_HELD);
     return;
   }
@@ -86,7 +84,7 @@
     log_line(log_level::kInfo, "opening_handed_back")
         .With("flow", ToString(flow))
         .With("upstream", NameOf(state_));
-    HandBack(balancer, carried.attempt(), BytesOf(carried.packet()),
+    HandBack(balancer, carried.attempt(), AsBytes(carried.packet()),
              inner::RETURN_NO_NEW_FLOWS);
     return;
   }
@@ -115,7 +113,7 @@
                          const inner::carried_packet& carried) {
   const uint32_t mark = next_mark_++;
   marked_.at(mark % kMarkedPackets) = {mark, carried.attempt(), balancer};
-  outlet_->SendToUpstream(BytesOf(carried.packet()), mark);
+  outlet_->SendToUpstream(AsBytes(carried.packet()), mark);
 }
 
 void flow_agent::OnUpstreamPacket(const flow_packet& packet,
@@ -260,7 +258,7 @@
   }
   next_tick_ = now + kLoadInterval;
   if (now >= next_sweep_) {
-    next_sweep_ = now + kSweepInterval;
+    next_sweep_ = now + kHeldSweepInterval;
     for (auto flow = flows_.begin(); flow != flows_.end();) {
       const auto present = flow++;
       if (now >= present->second.forget_at) {
--- a/src/flows/flow_balancer.cc
+++ b/src/flows/flow_balancer.cc
@@ -3,17 +3,15 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/bytes.h"
 #include "base/log.h"
 #include "flows/balancer_outlet.h"
 
 namespace cardamomroute {
 namespace {
 
-constexpr absl::Duration kSweepInterval = absl::Seconds(1);
-
-absl::Span<const uint8_t> BytesOf(const std::string& bytes) {
-  return {reinterpret_cast<const uint8_t*>(bytes.data()), bytes.size()};
-}
+// How often flows that are over are looked for.
+constexpr absl::Duration kCacheSweepInterval = absl::Seconds(1);
 
 }  // namespace
 
@@ -214,21 +212,21 @@
         cached->second.holder != agent) {
       return;
     }
-    TryNext(flow, *route, &cached->second, BytesOf(bytes), now);
+    TryNext(flow, *route, &cached->second, AsBytes(bytes), now);
     return;
   }
   if (cached != flows_.end() && cached->second.holder == agent) {
     flows_.erase(cached);
   } else if (cached != flows_.end() && returned.carried().attempt() == 0) {
     // It was found elsewhere meanwhile.
-    Send(cached->second.holder, 0, BytesOf(bytes));
+    Send(cached->second.holder, 0, AsBytes(bytes));
     return;
   }
   std::vector<ipv4_address>& denied = searches_[flow].denied;
   if (std::find(denied.begin(), denied.end(), agent) == denied.end()) {
     denied.push_back(agent);
   }
-  GoOnSearching(flow, packet, BytesOf(bytes), now);
+  GoOnSearching(flow, packet, AsBytes(bytes), now);
 }
 
 void flow_balancer::OnNotice(const ipv4_address& agent,
@@ -267,7 +265,7 @@
   if (now < next_sweep_) {
     return;
   }
-  next_sweep_ = now + kSweepInterval;
+  next_sweep_ = now + kCacheSweepInterval;
   for (auto search = searches_.begin(); search != searches_.end();) {
     const auto present = search++;
     if (now >= present->second.asked_at + kCachedFlowLife) {
