--- a/src/cardamomroute/control_answers.h
+++ b/src/cardamomroute/control_answers.h
@@ -12,6 +12,10 @@
 
 namespace cardamomroute {
 
+/// Codes of answers to operations that are not refused.
+inline constexpr char kOkCode[] = "ok";
+inline constexpr char kAcceptedCode[] = "accepted";
+
 /// The answer to an operation that is refused.
 inner::operator_answer RefusalAnswer(const error& refusal);
 
--- a/src/cardamomroute/control_member_answers.cc
+++ b/src/cardamomroute/control_member_answers.cc
@@ -13,9 +13,6 @@
 namespace cardamomroute {
 namespace {
 
-constexpr char kOk[] = "ok";
-constexpr char kAccepted[] = "accepted";
-
 // When an operation that is not committed is answered with kOutcomeUnknown.
 constexpr absl::Duration kCommitTimeout = absl::Milliseconds(1500);
 
@@ -98,7 +95,7 @@
     return;
   }
   inner::operator_answer answer;
-  answer.set_code(kOk);
+  answer.set_code(kOkCode);
   answer.set_version(state_.Text().version);
   answer.set_digest(state_.Text().digest);
   answer.set_text(state_.Text().text);
@@ -120,7 +117,7 @@
   }
   const control::in_force_count count = registry_.CountInForce(version, now);
   inner::operator_answer answer;
-  answer.set_code(kOk);
+  answer.set_code(kOkCode);
   answer.set_version(state_.Text().version);
   answer.set_digest(state_.Text().digest);
   answer.set_nodes(count.nodes);
@@ -140,7 +137,7 @@
     return;
   }
   inner::operator_answer answer;
-  answer.set_code(kOk);
+  answer.set_code(kOkCode);
   answer.set_status_json(MembersJson(*raft_, now));
   Reply(client, std::move(answer));
 }
@@ -179,7 +176,7 @@
   inner::operator_answer answer;
   answer.set_request(request.request());
   if (request.configuration().version() <= state_.Configuration()->version()) {
-    answer.set_code(kAccepted);
+    answer.set_code(kAcceptedCode);
     answer.set_version(state_.Configuration()->version());
     Reply(client, std::move(answer));
     return;
@@ -206,7 +203,7 @@
     return;
   }
   inner::operator_answer answer;
-  answer.set_code(kOk);
+  answer.set_code(kOkCode);
   answer.set_request(request.request());
   answer.set_version(state_.Configuration()->version());
   answer.set_document(state_.Configuration()->document());
@@ -237,7 +234,7 @@
       // Only configurations come with a number.
       const bool is_put = operation.request != 0;
       inner::operator_answer answer;
-      answer.set_code(is_put ? kAccepted : kOk);
+      answer.set_code(is_put ? kAcceptedCode : kOkCode);
       answer.set_version(is_put ? state_.Configuration()->version()
                                 : state_.View().version);
       answer.set_request(operation.request);
@@ -322,7 +319,7 @@
   if (outcome.refusal) {
     answer = RefusalAnswer(*outcome.refusal);
   } else {
-    answer.set_code(kAccepted);
+    answer.set_code(kAcceptedCode);
   }
   answer.set_version(outcome.version);
   answer.set_digest(outcome.digest);
--- a/src/cardamomroute/control_shell.cc
+++ b/src/cardamomroute/control_shell.cc
@@ -9,6 +9,7 @@
 #include <zmq.hpp>
 
 #include "base/log.h"
+#include "base/random_word.h"
 #include "cardamomroute/control_member.h"
 #include "cardamomroute/control_peers.h"
 #include "cardamomroute/local_control.h"
@@ -31,14 +32,6 @@
 // Longest time for handing the leadership away.
 constexpr absl::Duration kTransferTimeout = absl::Seconds(2);
 
-uint64_t RandomNonZero() {
-  uint64_t value = 0;
-  while (value == 0) {
-    randombytes_buf(&value, sizeof(value));
-  }
-  return value;
-}
-
 result<void> Listen(const endpoint& address, zmq::socket_t* listening) {
   listening->set(zmq::sockopt::linger, 0);
   listening->set(zmq::sockopt::ipv6, true);
--- a/src/cardamomroute/operator_gateway.cc
+++ b/src/cardamomroute/operator_gateway.cc
@@ -4,12 +4,13 @@
 #include <utility>
 
 #include "base/error_kind.h"
+#include "cardamomroute/control_answers.h"
 
 namespace cardamomroute {
 namespace {
 
 bool IsServed(const inner::operator_answer& answer) {
-  return answer.code() == "ok" || answer.code() == "accepted";
+  return answer.code() == kOkCode || answer.code() == kAcceptedCode;
 }
 
 }  // namespace
--- a/src/cardamomroute/socket_address.cc
+++ b/src/cardamomroute/socket_address.cc
@@ -3,6 +3,9 @@
 #include <arpa/inet.h>
 
 #include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <string>
 
 #include "base/ipv4_address.h"
 
@@ -41,4 +44,9 @@
   return IsIpv4(value) ? AF_INET : AF_INET6;
 }
 
+error SocketError(const char* call, const endpoint& where) {
+  return {error_kind::kIoFailed, ToString(where),
+          std::string(call) + ": " + std::strerror(errno)};
+}
+
 }  // namespace cardamomroute
--- a/src/cardamomroute/socket_address.h
+++ b/src/cardamomroute/socket_address.h
@@ -4,6 +4,7 @@
 #include <netinet/in.h>
 
 #include "base/endpoint.h"
+#include "base/result.h"
 
 namespace cardamomroute {
 
@@ -18,6 +19,9 @@
 /// AF_INET for IPv4 addresses, else AF_INET6.
 sa_family_t FamilyOf(const endpoint& value);
 
+/// What the call that has just failed left in errno; kIoFailed.
+error SocketError(const char* call, const endpoint& where);
+
 }  // namespace cardamomroute
 
 #endif  // CARDAMOMROUTE_CARDAMOMROUTE_SOCKET_ADDRESS_H_
--- a/src/cardamomroute/udp_socket.cc
+++ b/src/cardamomroute/udp_socket.cc
@@ -18,11 +18,6 @@
 // Room in the kernel for bursts, bytes.
 constexpr int kSocketBufferBytes = 4 << 20;
 
-error SocketError(const char* call, const endpoint& where) {
-  return {error_kind::kIoFailed, ToString(where),
-          std::string(call) + ": " + std::strerror(errno)};
-}
-
 int OpenSocket(sa_family_t family) {
   const int fd = socket(family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0) {
--- a/src/flows/flow_balancer.cc
+++ b/src/flows/flow_balancer.cc
@@ -36,10 +36,6 @@
 
 void flow_balancer::OnUpstreams(const std::vector<known_upstream>& known) {
   upstreams_.OnUpstreams(known);
-  services_.clear();
-  for (const known_upstream& item : known) {
-    services_[item.agent] = HashOfService(item.service);
-  }
 }
 
 void flow_balancer::OnCallerPacket(const flow_packet& packet,
@@ -188,17 +184,12 @@
 void flow_balancer::Send(const ipv4_address& agent, uint32_t attempt,
                          absl::Span<const uint8_t> bytes) {
   inner::carried_packet* carried = datagram_.mutable_carried();
-  carried->set_service(ServiceOf(agent));
+  carried->set_service(upstreams_.ServiceOf(agent));
   carried->set_attempt(attempt);
   carried->set_packet(bytes.data(), bytes.size());
   outlet_->SendToAgent(agent, datagram_);
 }
 
-uint64_t flow_balancer::ServiceOf(const ipv4_address& agent) const {
-  const auto found = services_.find(agent);
-  return found != services_.end() ? found->second : 0;
-}
-
 void flow_balancer::OnReturned(const ipv4_address& agent,
                                const inner::returned_packet& returned,
                                const flow_packet& packet, absl::Time now) {
--- a/src/flows/flow_balancer.h
+++ b/src/flows/flow_balancer.h
@@ -104,14 +104,12 @@
   void EndSearch(const flow_id& flow, const flow_packet& packet);
   void Send(const ipv4_address& agent, uint32_t attempt,
             absl::Span<const uint8_t> bytes);
-  uint64_t ServiceOf(const ipv4_address& agent) const;
 
   balancer_outlet* const outlet_;
   std::shared_ptr<const route_set> routes_ = std::make_shared<route_set>();
   /// Addresses of routes that were removed while this process ran.
   absl::flat_hash_set<ipv4_address> removed_hosts_;
   upstream_table upstreams_;
-  absl::flat_hash_map<ipv4_address, uint64_t> services_;
   absl::flat_hash_map<flow_id, cached_flow> flows_;
   /// Searches that are not over.
   absl::flat_hash_map<flow_id, pending_search> searches_;
--- a/src/flows/upstream_table.cc
+++ b/src/flows/upstream_table.cc
@@ -13,8 +13,8 @@
 /// Where an upstream stands in the search for a flow; the highest is asked
 /// first.
 struct search_rank {
-  bool is_of_route = false;
   bool is_reachable = false;
+  bool is_of_route = false;
   bool has_upstream = false;
   uint64_t weight = 0;
 
@@ -44,36 +44,42 @@
   std::vector<upstream> next;
   next.reserve(known.size());
   for (const known_upstream& item : known) {
-    upstream& added = next.emplace_back();
+    const uint64_t service = HashOfService(item.service);
+    const upstream* before = Find(item.agent);
+    const bool stays = before != nullptr && before->service == service;
+    upstream& added = next.emplace_back(stays ? *before : upstream());
     added.known = item;
-    added.service = HashOfService(item.service);
-    for (const upstream& before : upstreams_) {
-      if (before.known.agent == item.agent && before.service == added.service) {
-        added.open_flows = before.open_flows;
-        added.busy_flows = before.busy_flows;
-        added.avoided_until = before.avoided_until;
-      }
-    }
+    added.service = service;
   }
   upstreams_ = std::move(next);
+  places_.clear();
+  for (size_t i = 0; i < upstreams_.size(); ++i) {
+    places_[upstreams_[i].known.agent] = i;
+  }
+}
+
+upstream_table::upstream* upstream_table::Find(const ipv4_address& agent) {
+  const auto found = places_.find(agent);
+  return found != places_.end() ? &upstreams_[found->second] : nullptr;
+}
+
+uint64_t upstream_table::ServiceOf(const ipv4_address& agent) const {
+  const auto found = places_.find(agent);
+  return found != places_.end() ? upstreams_[found->second].service : 0;
 }
 
 void upstream_table::OnLoad(const ipv4_address& agent,
                             const inner::upstream_load& load) {
-  for (upstream& item : upstreams_) {
-    if (item.known.agent == agent) {
-      item.open_flows = load.open_flows();
-      item.busy_flows = load.busy_flows();
-      item.avoided_until = absl::InfinitePast();
-    }
+  if (upstream* item = Find(agent)) {
+    item->open_flows = load.open_flows();
+    item->busy_flows = load.busy_flows();
+    item->avoided_until = absl::InfinitePast();
   }
 }
 
 void upstream_table::OnUnanswered(const ipv4_address& agent, absl::Time now) {
-  for (upstream& item : upstreams_) {
-    if (item.known.agent == agent) {
-      item.avoided_until = now + kUnansweredPenalty;
-    }
+  if (upstream* item = Find(agent)) {
+    item->avoided_until = now + kUnansweredPenalty;
   }
 }
 
@@ -129,14 +135,14 @@
   search_rank best;
   const upstream* next = nullptr;
   for (const upstream& item : upstreams_) {
-    const bool is_of_route = std::any_of(
-        route.shares.begin(), route.shares.end(),
-        [&](const flow_share& share) { return share.service == item.service; });
     if (std::find(denied.begin(), denied.end(), item.known.agent) !=
         denied.end()) {
       continue;
     }
-    const search_rank rank{is_of_route, item.IsReachable(now),
+    const bool is_of_route = std::any_of(
+        route.shares.begin(), route.shares.end(),
+        [&](const flow_share& share) { return share.service == item.service; });
+    const search_rank rank{item.IsReachable(now), is_of_route,
                            item.known.state != upstream_state::kAbsent,
                            RendezvousWeight(flow_hash, item.known.agent)};
     if (next == nullptr || rank > best) {
--- a/src/flows/upstream_table.h
+++ b/src/flows/upstream_table.h
@@ -60,6 +60,10 @@
                          absl::Span<const ipv4_address> denied,
                          absl::Time now) const;
 
+  /// Hash of the name of the service that the agent's upstream belongs to; 0
+  /// for an unknown agent.
+  uint64_t ServiceOf(const ipv4_address& agent) const;
+
   size_t size() const { return upstreams_.size(); }
 
  private:
@@ -78,11 +82,14 @@
     double Load() const;
   };
 
+  upstream* Find(const ipv4_address& agent);
   upstream* Choose(uint64_t flow_hash, uint64_t service,
                    absl::Span<const ipv4_address> tried, bool also_silent,
                    absl::Time now);
 
   std::vector<upstream> upstreams_;
+  /// Places in `upstreams_`.
+  absl::flat_hash_map<ipv4_address, size_t> places_;
 };
 
 }  // namespace cardamomroute
