--- a/tools/case.py
+++ b/tools/case.py
@@ -15,8 +15,11 @@
 # Longer than all that a caller's datagrams are repeated for.
 PATIENCE_SECONDS = 40
 
-# Lines of each process's log that a failed case prints.
+# Lines of each process's log that a failed case prints: the last ones, and
+# before them those about requests that were not served.
 LOG_TAIL_LINES = 40
+LOG_FAILURE_LINES = 40
+FAILURE_MARKS = ("decision=unknown", "decision=refused", "decision=not-run")
 
 
 def serving_site(folder, description, kind=Site, **options):
@@ -80,14 +83,18 @@
 
 
 def print_logs(folder):
-    """The last lines of what every process of the site wrote."""
+    """The last lines of what every process of the site wrote, and what it wrote
+    about requests that were not served."""
     for path in sorted(pathlib.Path(folder).rglob("*")):
         if path.suffix not in (".log", ".out") or not path.stat().st_size:
             continue
         lines = path.read_text(errors="replace").splitlines()
         left_out = max(0, len(lines) - LOG_TAIL_LINES)
-        print(f"--- {path.name}, {left_out} earlier lines left out")
-        print("\n".join(lines[left_out:]))
+        failures = [line for line in lines[:left_out]
+                    if any(mark in line for mark in FAILURE_MARKS)]
+        print(f"--- {path.name}, {left_out} earlier lines left out, but for "
+              f"the last {LOG_FAILURE_LINES} of {len(failures)} failures")
+        print("\n".join(failures[-LOG_FAILURE_LINES:] + lines[left_out:]))
 
 
 def run(body):
