--- a/src/base/latency_metric.cc
+++ b/src/base/latency_metric.cc
@@ -1,6 +1,8 @@
 #include "base/latency_metric.h"
 
+#include <algorithm>
 #include <array>
+#include <numeric>
 
 namespace cardamomroute {
 namespace {
@@ -19,8 +21,14 @@
     : statistics_(acc::extended_p_square_probabilities = kProbabilities) {}
 
 void latency_metric::Record(absl::Duration latency) {
+  const double microseconds = absl::ToDoubleMicroseconds(latency);
+  const auto bound = std::lower_bound(kLatencyBoundsUs.begin(),
+                                      kLatencyBoundsUs.end(), microseconds);
   const absl::MutexLock lock(&mutex_);
-  statistics_(absl::ToDoubleMicroseconds(latency));
+  statistics_(microseconds);
+  if (bound != kLatencyBoundsUs.end()) {
+    ++buckets_.at(static_cast<size_t>(bound - kLatencyBoundsUs.begin()));
+  }
 }
 
 latency_summary latency_metric::Summary() const {
@@ -30,6 +38,7 @@
   if (summary.count == 0) {
     return summary;
   }
+  std::partial_sum(buckets_.begin(), buckets_.end(), summary.at_most.begin());
   summary.mean = absl::Microseconds(acc::mean(statistics_));
   summary.max = absl::Microseconds(acc::max(statistics_));
   if (summary.count >= kMarkers) {
--- a/src/base/metric_recorder_test.cc
+++ b/src/base/metric_recorder_test.cc
@@ -64,10 +64,10 @@
   };
   std::thread other([&] { record(&second); });
   record(&first);
-  const auto early = SumOf({&first.registry(), &second.registry()});
+  const auto early = ToJson(SumOf({&first.registry(), &second.registry()}));
   RC_ASSERT(early["counters"]["packets_in"].get<uint64_t>() >= expected);
   other.join();
-  const auto sum = SumOf({&first.registry(), &second.registry()});
+  const auto sum = ToJson(SumOf({&first.registry(), &second.registry()}));
   RC_ASSERT(sum["counters"]["packets_in"] == 2 * expected);
   RC_ASSERT(sum["counters"]["packets_dropped"] == 0);
 }
@@ -77,7 +77,7 @@
   own.Set(metric::kSlotsInUse, 3);
   own.Set(metric::kSlotsInUse, 2);
   own.Record(metric::kTimeInQueue, absl::Milliseconds(4));
-  const auto json = SumOf({&own.registry()});
+  const auto json = ToJson(SumOf({&own.registry()}));
   BOOST_TEST(json["gauges"]["slots_in_use"] == 2);
   BOOST_TEST(json["latencies"]["time_in_queue"]["mean_us"] == 4000.0);
   BOOST_TEST(!json["counters"].contains("pulls"));
--- a/src/base/metric_table.h
+++ b/src/base/metric_table.h
@@ -24,6 +24,19 @@
   kAnswersDropped,
   kBatchesToAgents,
   kBatchesFromAgents,
+  // Balancers: opaque flows.
+  kOpeningsPlaced,
+  kOpeningsRefusedNoRoute,
+  kOpeningsRefusedNoUpstream,
+  kPacketsReturned,
+  kFlowsSearched,
+  kFlowsNotFound,
+  kFlowsReset,
+  kPacketsHeld,
+  kCachedFlows,
+  kKnownUpstreams,
+  kRoutesVersion,
+  kUpstreamsSettled,
   // Agents: packets.
   kAgentPacketsIn,
   kAgentPacketsDropped,
@@ -51,6 +64,16 @@
   kFlowsTakenOver,
   kFlowsSuperseded,
   kFlowsClosed,
+  // Agents: opaque flows.
+  kOpeningsDelivered,
+  kOpeningsHandedBack,
+  kOpeningsQueued,
+  kUpstreamPackets,
+  kUpstreamHandedBack,
+  kAgentFlowsReset,
+  kOpenFlows,
+  kBusyFlows,
+  kUpstreamServes,
   // Agents: present state.
   kSlotsInUse,
   kSlots,
@@ -60,6 +83,9 @@
   // Agents: durations.
   kTimeInQueue,
   kTimeAtUpstream,
+  kFlowOpeningTime,
+  kOpeningWaitTime,
+  kFlowAnswerTime,
   // Control.
   kEntriesCommitted,
   kTextsAccepted,
@@ -71,9 +97,17 @@
   kLeaderships,
   kRepairs,
   kCommitTime,
+  // Control: configurations of routes.
+  kConfigurationCalls,
+  kConfigurationsRefused,
+  kConfigurationCallsUnavailable,
+  kConfigurationVersion,
+  kMembers,
+  kAnnouncements,
+  kPolls,
 };
 
-constexpr size_t kMetricCount = static_cast<size_t>(metric::kCommitTime) + 1;
+constexpr size_t kMetricCount = static_cast<size_t>(metric::kPolls) + 1;
 
 enum class metric_kind : uint8_t {
   /// Events since the process began.
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -20,6 +20,13 @@
 /// from any thread.
 using counter_metric = std::atomic<uint64_t>;
 
+/// What metrics hold at one moment, by name.
+struct metric_values {
+  std::map<std::string, uint64_t> counters;
+  std::map<std::string, uint64_t> gauges;
+  std::map<std::string, latency_summary> latencies;
+};
+
 /// The metrics of one process by name. References that it gives stay good as
 /// long as it lives, so that a thread looks a metric up once and then uses it
 /// without a lock of the registry.
@@ -34,9 +41,7 @@
   /// The latency with this name, made at the first call.
   latency_metric& Latency(std::string_view name);
 
-  /// {"counters": {NAME: N}, "gauges": {NAME: N}, "latencies": {NAME:
-  /// {"count", "mean_us", "max_us", "p50_us", "p90_us", "p99_us"}}}.
-  nlohmann::json ToJson() const;
+  metric_values Values() const;
 
  private:
   mutable absl::Mutex mutex_;
@@ -48,9 +53,17 @@
       ABSL_GUARDED_BY(mutex_);
 };
 
-/// As metrics::ToJson, with the sums of counters and gauges. A latency is
-/// that of the first one that has it.
-nlohmann::json SumOf(const std::vector<const metrics*>& parts);
+/// Sums of counters and gauges. A latency is that of the part that has recorded
+/// most of it.
+metric_values SumOf(const std::vector<const metrics*>& parts);
+
+/// {"counters": {NAME: N}, "gauges": {NAME: N}, "latencies": {NAME:
+/// {"count", "mean_us", "max_us", "p50_us", "p90_us", "p99_us"}}}.
+nlohmann::json ToJson(const metric_values& values);
+
+/// In the text exposition format of Prometheus, each name with `prefix` before
+/// it; latencies as histograms in seconds.
+std::string ToText(const metric_values& values, std::string_view prefix);
 
 }  // namespace cardamomroute
 
--- a/src/base/metrics_test.cc
+++ b/src/base/metrics_test.cc
@@ -7,6 +7,7 @@
 #include <cmath>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <string>
 #include <vector>
 
 namespace cardamomroute {
@@ -26,7 +27,7 @@
     latency.Record(absl::Microseconds(sample));
   }
   std::sort(samples.begin(), samples.end());
-  const auto json = registry.ToJson()["latencies"]["run"];
+  const auto json = ToJson(registry.Values())["latencies"]["run"];
   RC_ASSERT(json["count"] == kSamples);
   const auto near = [&](const char* key, double probability) {
     const double exact = samples[static_cast<size_t>(probability * kSamples)];
@@ -44,12 +45,47 @@
   registry.Latency("few").Record(absl::Milliseconds(2));
   registry.Counter("sent") += 3;
   BOOST_TEST(&registry.Counter("sent") == &registry.Counter("sent"));
-  const auto json = registry.ToJson();
+  const auto json = ToJson(registry.Values());
   BOOST_TEST(json["counters"]["sent"] == 3);
   BOOST_TEST(json["latencies"]["none"]["count"] == 0);
   BOOST_TEST(json["latencies"]["few"]["mean_us"] == 2000.0);
   BOOST_TEST(json["latencies"]["few"]["p99_us"] == 0.0);
 }
 
+BOOST_AUTO_TEST_CASE(TextHasEachMetricOnce) {
+  metrics registry;
+  registry.Counter("sent") += 3;
+  registry.Gauge("open") = 2;
+  latency_metric& run = registry.Latency("run");
+  run.Record(absl::Milliseconds(1));
+  run.Record(absl::Milliseconds(30));
+  run.Record(absl::Seconds(60));
+  const std::string text = ToText(registry.Values(), "test_");
+  for (const char* line :
+       {"# TYPE test_sent_total counter\ntest_sent_total 3\n",
+        "# TYPE test_open gauge\ntest_open 2\n",
+        "# TYPE test_run_seconds histogram\ntest_run_seconds_count 3\n",
+        "test_run_seconds_bucket{le=\"0.0005\"} 0\n",
+        "test_run_seconds_bucket{le=\"0.001\"} 1\n",
+        "test_run_seconds_bucket{le=\"0.05\"} 2\n",
+        "test_run_seconds_bucket{le=\"5\"} 2\n",
+        "test_run_seconds_bucket{le=\"+Inf\"} 3\n"}) {
+    BOOST_TEST(text.find(line) != std::string::npos, line << " in\n" << text);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ASumHasTheLatencyThatWasRecordedMost) {
+  metrics idle;
+  metrics busy;
+  for (metrics* part : {&idle, &busy}) {
+    part->Counter("sent") += 2;
+    part->Latency("run");
+  }
+  busy.Latency("run").Record(absl::Milliseconds(1));
+  const metric_values sum = SumOf({&idle, &busy});
+  BOOST_TEST(sum.counters.at("sent") == 4U);
+  BOOST_TEST(sum.latencies.at("run").count == 1U);
+}
+
 }  // namespace
 }  // namespace cardamomroute
--- a/src/cardamomroute/control_member.cc
+++ b/src/cardamomroute/control_member.cc
@@ -306,14 +306,14 @@
 void control_member::CountApplied(const inner::raft_entry& entry,
                                   const control::apply_outcome& outcome,
                                   absl::Time now) {
-  recorder_.Add(metric::kEntriesCommitted);
+  recorder_->Add(metric::kEntriesCommitted);
   if (outcome.submission) {
-    recorder_.Add(outcome.submission->Accepted() ? metric::kTextsAccepted
-                                                 : metric::kTextsRefused);
+    recorder_->Add(outcome.submission->Accepted() ? metric::kTextsAccepted
+                                                  : metric::kTextsRefused);
   }
   const auto own = proposed_.find(entry.index());
   if (own != proposed_.end()) {
-    recorder_.Record(metric::kCommitTime, now - own->second);
+    recorder_->Record(metric::kCommitTime, now - own->second);
   }
   proposed_.erase(proposed_.begin(), proposed_.upper_bound(entry.index()));
 }
@@ -362,7 +362,7 @@
     return;
   }
   leading_term_ = raft_->Term();
-  recorder_.Add(metric::kLeaderships);
+  recorder_->Add(metric::kLeaderships);
   leading_since_ = now;
   stamp_base_ = state_.LatestTime();
   registry_.StartLeading(state_, now);
@@ -420,7 +420,7 @@
     return;
   }
   const auto index = raft_->ProposeMembership(*change, now);
-  recorder_.Add(metric::kRepairs, index.has_value() ? 1 : 0);
+  recorder_->Add(metric::kRepairs, index.has_value() ? 1 : 0);
   log_line(log_level::kInfo, "membership_change")
       .With("kind", control::NameOf(change->kind))
       .With("member", change->member.id())
--- a/src/cardamomroute/control_member.h
+++ b/src/cardamomroute/control_member.h
@@ -66,6 +66,8 @@
   /// What this member has applied.
   const control::control_state& State() const { return state_; }
 
+  std::shared_ptr<const metric_recorder> Measured() const { return recorder_; }
+
   /// The control group as this member knows it.
   const control::raft_membership& Membership() const {
     return raft_->Membership();
@@ -182,7 +184,9 @@
   absl::flat_hash_map<member_id, std::string> addresses_;
   uint64_t applied_index_ = 0;
   std::multimap<uint64_t, pending_operation> pending_;
-  metric_recorder recorder_{process_role::kControl};
+  /// Outlives the member where somebody reads it.
+  const std::shared_ptr<metric_recorder> recorder_ =
+      std::make_shared<metric_recorder>(process_role::kControl);
   /// When the entries that this leader proposed came to be, by index.
   std::map<uint64_t, absl::Time> proposed_;
   /// Term in which this member began to act as leader; 0 while it does not.
--- a/src/cardamomroute/control_member_answers.cc
+++ b/src/cardamomroute/control_member_answers.cc
@@ -124,7 +124,7 @@
   answer.set_nodes_in_force(count.in_force);
   children_.OnTick(now);
   answer.set_status_json(
-      StatusJson(state_, registry_, children_, recorder_.registry(), now));
+      StatusJson(state_, registry_, children_, recorder_->registry(), now));
   Reply(client, std::move(answer));
 }
 
--- a/src/cardamomroute/control_member_pulls.cc
+++ b/src/cardamomroute/control_member_pulls.cc
@@ -31,13 +31,13 @@
   if (IsServedElsewhere(pull, now)) {
     const std::string leader = LeaderAddress();
     pulled->set_leader(leader.empty() ? NextPeerAddress() : leader);
-    recorder_.Add(metric::kPullsNotLeading);
+    recorder_->Add(metric::kPullsNotLeading);
     if (!pulled->leader().empty()) {
       outlet_->Answer(client, answer);
     }
     return;
   }
-  recorder_.Add(metric::kPulls);
+  recorder_->Add(metric::kPulls);
   pulled->set_needs_members(!registry_.OnPull(pull, state_, now));
   const uint64_t present = state_.View().version;
   pulled->set_present_version(present);
@@ -53,8 +53,8 @@
   const uint64_t have = pull.lacks_items() ? 0 : pull.have_version();
   if (pulled->taken() && have < present) {
     *pulled->mutable_delta() = state_.DeltaFrom(have, pull.view_service());
-    recorder_.Add(pulled->delta().from_version() == 0 ? metric::kFullViewsSent
-                                                      : metric::kDeltasSent);
+    recorder_->Add(pulled->delta().from_version() == 0 ? metric::kFullViewsSent
+                                                       : metric::kDeltasSent);
   }
   outlet_->Answer(client, answer);
 }
--- a/src/cardamomroute/control_report.cc
+++ b/src/cardamomroute/control_report.cc
@@ -114,7 +114,7 @@
   status["services"] = ServiceRows(present);
   status["targets"] = TargetRows(state);
   status["node_list"] = NodeRows(state, registry, now);
-  status["metrics"] = measured.ToJson();
+  status["metrics"] = ToJson(measured.Values());
   return status.dump();
 }
 
--- a/src/cardamomroute/control_shell.cc
+++ b/src/cardamomroute/control_shell.cc
@@ -144,7 +144,8 @@
 void control_shell::Publish(const control_member& member) {
   if (local_ != nullptr) {
     local_->Publish(member.State().Configuration(),
-                    member.Membership().ToRecord().members());
+                    member.Membership().ToRecord().members(),
+                    member.Measured());
   }
 }
 
--- a/src/cardamomroute/local_control.cc
+++ b/src/cardamomroute/local_control.cc
@@ -42,7 +42,8 @@
 
 void local_control::Publish(
     const control::shared_configuration& configuration,
-    const google::protobuf::RepeatedPtrField<inner::member_record>& members) {
+    const google::protobuf::RepeatedPtrField<inner::member_record>& members,
+    std::shared_ptr<const metric_recorder> measured) {
   std::vector<std::string> addresses;
   addresses.reserve(static_cast<size_t>(members.size()));
   for (const inner::member_record& member : members) {
@@ -55,6 +56,7 @@
   if (summary_.members != addresses) {
     summary_.members = std::move(addresses);
   }
+  summary_.measured = std::move(measured);
 }
 
 }  // namespace cardamomroute
--- a/src/cardamomroute/local_control.h
+++ b/src/cardamomroute/local_control.h
@@ -2,6 +2,7 @@
 #define CARDAMOMROUTE_CARDAMOMROUTE_LOCAL_CONTROL_H_
 
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -13,11 +14,15 @@
 
 namespace cardamomroute {
 
+class metric_recorder;
+
 /// What a control member has applied, for those who serve it to nodes.
 struct control_summary {
   control::shared_configuration configuration;
   /// Where the members of the group are reached, IP:PORT.
   std::vector<std::string> members;
+  /// By the control thread; null before it has begun.
+  std::shared_ptr<const metric_recorder> measured;
 };
 
 /// The way between the control thread and another thread of its process, which
@@ -45,7 +50,8 @@
   /// Tells of the state, where it has changed.
   void Publish(
       const control::shared_configuration& configuration,
-      const google::protobuf::RepeatedPtrField<inner::member_record>& members);
+      const google::protobuf::RepeatedPtrField<inner::member_record>& members,
+      std::shared_ptr<const metric_recorder> measured);
 
  private:
   wake_signal submitted_;
--- a/src/cardamomroute/node_report.cc
+++ b/src/cardamomroute/node_report.cc
@@ -19,7 +19,7 @@
   status["view_version"] = version;
   status["whole_view"] = is_whole;
   status["incarnation"] = announcement.incarnation();
-  status["metrics"] = SumOf(measured);
+  status["metrics"] = ToJson(SumOf(measured));
   return status.dump();
 }
 
--- a/src/cardamomroute/proxied_edge_test.cc
+++ b/src/cardamomroute/proxied_edge_test.cc
@@ -24,7 +24,7 @@
 }
 
 uint64_t Malformed(const metric_recorder& recorder) {
-  return SumOf({&recorder.registry()})["counters"]["headers_malformed"];
+  return recorder.registry().Values().counters.at("headers_malformed");
 }
 
 /// Each datagram is either passed on or counted as malformed.
--- a/src/directory/directory_follower.cc
+++ b/src/directory/directory_follower.cc
@@ -81,7 +81,8 @@
   contacts_.OnNamed(page.members(), now);
   TakeUpstreams(page, &teller);
   const bool more = TakeRoutes(page) || page.more();
-  const absl::Duration pause = IsComplete() ? kPollInterval : kFirstPollTimeout;
+  const absl::Duration pause =
+      IsComplete() && IsSettled() ? kPollInterval : kFirstPollTimeout;
   teller.due = more ? now : now + pause;
   next_ = std::min(next_, teller.due);
 }
@@ -143,10 +144,15 @@
 }
 
 bool directory_follower::IsSettled() const {
-  return std::any_of(members_.begin(), members_.end(), [](const auto& entry) {
-    const member& teller = entry.second;
-    return teller.answers && teller.listed && teller.age >= kSettledAge;
-  });
+  const auto tellers_of_age = [this](absl::Duration age) {
+    return std::count_if(
+        members_.begin(), members_.end(), [age](const auto& entry) {
+          const member& teller = entry.second;
+          return teller.answers && teller.listed && teller.age >= age;
+        });
+  };
+  return tellers_of_age(kSettledAge) >= 1 ||
+         tellers_of_age(kSettledAgeOfTwo) >= 2;
 }
 
 const followed_routes* directory_follower::TakeNewRoutes() {
@@ -204,7 +210,7 @@
     item.service = known.announced->service();
     item.zone = known.announced->zone();
     item.state = known.announced->state() <=
-                         static_cast<uint32_t>(upstream_state::kDraining)
+                         static_cast<uint32_t>(upstream_state::kEnded)
                      ? static_cast<upstream_state>(known.announced->state())
                      : upstream_state::kAbsent;
     item.slots = std::max<uint32_t>(known.announced->slots(), 1);
--- a/src/directory/directory_follower.h
+++ b/src/directory/directory_follower.h
@@ -34,6 +34,10 @@
 /// before and announce themselves at the usual interval.
 inline constexpr absl::Duration kSettledAge = absl::Seconds(1);
 
+/// The same where two members say so: an announcement goes to each of them, and
+/// only one that both have lost would be missing after one interval.
+inline constexpr absl::Duration kSettledAgeOfTwo = absl::Milliseconds(600);
+
 /// A member that has not answered for this long has no say about who is
 /// silent, unless no other one answers either.
 inline constexpr absl::Duration kMemberSay = absl::Seconds(2);
--- a/src/directory/directory_test.cc
+++ b/src/directory/directory_test.cc
@@ -198,6 +198,18 @@
   BOOST_TEST(follower.IsSettled());
 }
 
+// Pattern: all have stopped, and callers of flows that are lost wait until the
+// list is settled.
+BOOST_FIXTURE_TEST_CASE(TwoYoungMembersAreSettledSoonerThanOne, fixture) {
+  now = kStart;
+  members.at(kMember) = node_directory(7, now);
+  members.emplace(kOtherMember, node_directory(3, now));
+  Run(absl::Milliseconds(550));
+  BOOST_TEST(!follower.IsSettled());
+  Run(absl::Milliseconds(150));
+  BOOST_TEST(follower.IsSettled());
+}
+
 BOOST_FIXTURE_TEST_CASE(AnswersThatWereNotAskedForAreIgnored, fixture) {
   inner::directory_page page;
   page.set_configuration_version(99);
--- a/src/flows/flow_agent.cc
+++ b/src/flows/flow_agent.cc
@@ -5,6 +5,7 @@
 
 #include "base/bytes.h"
 #include "base/log.h"
+#include "base/metric_recorder.h"
 #include "flows/agent_outlet.h"
 
 namespace cardamomroute {
@@ -15,22 +16,29 @@
 
 }  // namespace
 
-flow_agent::flow_agent(uint64_t service, agent_outlet* outlet)
-    : service_(service), outlet_(outlet) {}
+flow_agent::flow_agent(uint64_t service, agent_outlet* outlet,
+                       metric_recorder* recorder)
+    : service_(service), outlet_(outlet), recorder_(recorder) {}
 
 void flow_agent::OnUpstream(upstream_state state, uint32_t slots,
-                            bool knows_all_flows, bool has_ended) {
+                            bool knows_all_flows) {
   load_changed_ = load_changed_ || state != state_ || slots != slots_;
   state_ = state;
   slots_ = slots;
   knows_all_flows_ = knows_all_flows;
-  has_ended_ = has_ended;
+  waiting_.SetRoom(size_t{kWaitingPerSlot} * slots);
+  if (state != upstream_state::kServing && waiting_.size() > 0) {
+    HandBackWaiting(waiting_.TakeAll(), "upstream-leaves");
+  }
+  recorder_->Set(metric::kUpstreamServes,
+                 state == upstream_state::kServing ? 1 : 0);
 }
 
 void flow_agent::OnCarried(const ipv4_address& balancer,
                            const inner::carried_packet& carried,
                            const flow_packet& packet, absl::Time now) {
   balancers_[balancer] = now;
+  recorder_->Add(metric::kAgentPacketsIn);
   const flow_id flow = FlowFromCaller(packet);
   if (carried.service() != service_) {
     HandBack(balancer, carried.attempt(), AsBytes(carried.packet()),
@@ -47,7 +55,7 @@
       HandBack(balancer, carried.attempt(), AsBytes(carried.packet()),
                inner::RETURN_NOT_HELD);
     } else {
-      Deliver(balancer, carried);
+      Deliver(balancer, carried.attempt(), AsBytes(carried.packet()));
     }
     return;
   }
@@ -57,7 +65,7 @@
              inner::RETURN_NOT_HELD);
     return;
   }
-  if (has_ended_ && held.confirmed) {
+  if (state_ == upstream_state::kEnded && held.confirmed) {
     EndLostFlow(found, packet);
     return;
   }
@@ -65,16 +73,15 @@
     held.balancer = balancer;
     Notify(balancer, flow);
   }
-  if (packet.length > 0 && !held.busy) {
-    SetBusy(&held, true);
-    held.busy_since = now;
-    begun_.emplace_back(now, flow);
+  if (packet.length > 0 && (!held.busy || held.opening)) {
+    BeginWork(flow, &held, false, now);
   }
   held.caller_finished =
       held.caller_finished || packet.finishing || packet.resetting;
   held.upstream_finished = held.upstream_finished || packet.resetting;
   NoteEnd(&held, now);
-  Deliver(balancer, carried);
+  Deliver(balancer, carried.attempt(), AsBytes(carried.packet()));
+  AdmitWaiting(now);
 }
 
 void flow_agent::OnOpening(const ipv4_address& balancer,
@@ -84,10 +91,41 @@
     log_line(log_level::kInfo, "opening_handed_back")
         .With("flow", ToString(flow))
         .With("upstream", NameOf(state_));
+    recorder_->Add(metric::kOpeningsHandedBack);
     HandBack(balancer, carried.attempt(), AsBytes(carried.packet()),
              inner::RETURN_NO_NEW_FLOWS);
     return;
   }
+  const auto former = flows_.find(flow);
+  const bool is_known = former != flows_.end() && !former->second.over;
+  const absl::Span<const uint8_t> bytes = AsBytes(carried.packet());
+  const bool waits = waiting_.Has(flow);
+  if (is_known || (HasRoom() && !waits)) {
+    DeliverOpening(balancer, carried.attempt(), flow, bytes, now);
+    return;
+  }
+  const auto displaced =
+      waiting_.Add({flow,
+                    balancer,
+                    carried.attempt(),
+                    carried.urgency(),
+                    {bytes.begin(), bytes.end()},
+                    now,
+                    now + absl::Milliseconds(carried.patience_ms())});
+  load_changed_ = true;
+  if (displaced) {
+    HandBackWaiting({*displaced}, "queue-full");
+  }
+  if (!waits && waiting_.Has(flow)) {
+    recorder_->Add(metric::kOpeningsQueued);
+    Notify(balancer, flow, true);
+  }
+}
+
+void flow_agent::DeliverOpening(const ipv4_address& balancer, uint32_t attempt,
+                                const flow_id& flow,
+                                absl::Span<const uint8_t> bytes,
+                                absl::Time now) {
   if (const auto former = flows_.find(flow);
       former != flows_.end() && former->second.over) {
     Forget(former);
@@ -95,7 +133,44 @@
   held_flow& held = FindOrAdd(flow);
   held.balancer = balancer;
   held.forget_at = now + kHeldFlowLife;
-  Deliver(balancer, carried);
+  if (held.opened_at == absl::InfinitePast()) {
+    held.opened_at = now;
+    BeginWork(flow, &held, true, now);
+  }
+  recorder_->Add(metric::kOpeningsDelivered);
+  Deliver(balancer, attempt, bytes);
+}
+
+// Openings go on as long as the upstream has room for their requests.
+void flow_agent::AdmitWaiting(absl::Time now) {
+  while (HasRoom()) {
+    const auto next = waiting_.TakeNext();
+    if (!next) {
+      return;
+    }
+    if (now >= next->give_up_at) {
+      HandBackWaiting({*next}, "waited-too-long");
+      continue;
+    }
+    recorder_->Record(metric::kOpeningWaitTime, now - next->came_at);
+    DeliverOpening(next->balancer, next->attempt, next->flow, next->bytes, now);
+  }
+}
+
+void flow_agent::HandBackWaiting(const std::vector<waiting_opening>& openings,
+                                 const char* reason) {
+  for (const waiting_opening& opening : openings) {
+    log_line(log_level::kInfo, "opening_handed_back")
+        .With("flow", ToString(opening.flow))
+        .With("reason", reason)
+        .With("upstream", NameOf(state_))
+        .With("waiting", waiting_.size())
+        .With("busy", busy_flows_);
+    recorder_->Add(metric::kOpeningsHandedBack);
+    load_changed_ = true;
+    HandBack(opening.balancer, opening.attempt, opening.bytes,
+             inner::RETURN_NO_NEW_FLOWS);
+  }
 }
 
 // Two upstreams may have answered the opening of a flow. The caller's next
@@ -109,16 +184,17 @@
                            packet.acknowledged == held.first_sequence + 1);
 }
 
-void flow_agent::Deliver(const ipv4_address& balancer,
-                         const inner::carried_packet& carried) {
+void flow_agent::Deliver(const ipv4_address& balancer, uint32_t attempt,
+                         absl::Span<const uint8_t> bytes) {
   const uint32_t mark = next_mark_++;
-  marked_.at(mark % kMarkedPackets) = {mark, carried.attempt(), balancer};
-  outlet_->SendToUpstream(AsBytes(carried.packet()), mark);
+  marked_.at(mark % kMarkedPackets) = {mark, attempt, balancer};
+  outlet_->SendToUpstream(bytes, mark);
 }
 
 void flow_agent::OnUpstreamPacket(const flow_packet& packet,
                                   absl::Span<const uint8_t> bytes,
                                   absl::Time now) {
+  recorder_->Add(metric::kUpstreamPackets);
   if (packet.returned) {
     OnHandedBack(packet, bytes);
     return;
@@ -130,6 +206,9 @@
     const bool is_first = !held.answered;
     held.answered = true;
     held.first_sequence = packet.sequence;
+    if (is_first && held.opened_at != absl::InfinitePast()) {
+      recorder_->Record(metric::kFlowOpeningTime, now - held.opened_at);
+    }
     if (is_first && held.balancer != ipv4_address()) {
       Notify(held.balancer, flow);
     }
@@ -137,13 +216,14 @@
     held.confirmed = true;
   }
   if (packet.length > 0) {
-    SetBusy(&held, false);
+    OnAnswerBegins(&held, now);
   }
   held.upstream_finished =
       held.upstream_finished || packet.finishing || packet.resetting;
   held.caller_finished = held.caller_finished || packet.resetting;
   NoteEnd(&held, now);
   outlet_->SendToCaller(flow, bytes);
+  AdmitWaiting(now);
 }
 
 // The flow was open at this upstream, which does not hold it any more; so no
@@ -158,6 +238,7 @@
         .With("flow", ToString(id))
         .With("reason", "upstream-lost-it")
         .With("upstream", NameOf(state_));
+    recorder_->Add(metric::kAgentFlowsReset);
     outlet_->ResetFlow(id, packet.acknowledged);
   }
 }
@@ -165,6 +246,7 @@
 // The upstream does not hold the flow, or takes no new one.
 void flow_agent::OnHandedBack(const flow_packet& packet,
                               absl::Span<const uint8_t> bytes) {
+  recorder_->Add(metric::kUpstreamHandedBack);
   const marked_packet sent = marked_.at(packet.mark % kMarkedPackets);
   if (sent.mark != packet.mark) {
     log_line(log_level::kWarn, "handed_back_too_late")
@@ -198,12 +280,14 @@
   outlet_->SendToBalancer(balancer, datagram_);
 }
 
-void flow_agent::Notify(const ipv4_address& balancer, const flow_id& flow) {
+void flow_agent::Notify(const ipv4_address& balancer, const flow_id& flow,
+                        bool waits) {
   inner::flow_notice* notice = datagram_.mutable_notice();
   notice->set_caller_ip(flow.caller.ip);
   notice->set_caller_port(flow.caller.port);
   notice->set_host_ip(flow.host.ip);
   notice->set_host_port(flow.host.port);
+  notice->set_waits(waits);
   FillLoad(notice->mutable_load());
   outlet_->SendToBalancer(balancer, datagram_);
 }
@@ -211,7 +295,7 @@
 void flow_agent::FillLoad(inner::upstream_load* load) const {
   load->set_slots(slots_);
   load->set_open_flows(open_flows_);
-  load->set_busy_flows(busy_flows_);
+  load->set_busy_flows(busy_flows_ + static_cast<uint32_t>(waiting_.size()));
 }
 
 flow_agent::held_flow& flow_agent::FindOrAdd(const flow_id& flow) {
@@ -247,12 +331,28 @@
   }
 }
 
+void flow_agent::BeginWork(const flow_id& flow, held_flow* held, bool opening,
+                           absl::Time now) {
+  SetBusy(held, true);
+  held->opening = opening;
+  held->busy_since = now;
+  (opening ? begun_openings_ : begun_requests_).emplace_back(now, flow);
+}
+
+void flow_agent::OnAnswerBegins(held_flow* held, absl::Time now) {
+  if (held->busy && !held->opening) {
+    recorder_->Record(metric::kFlowAnswerTime, now - held->busy_since);
+  }
+  SetBusy(held, false);
+}
+
 void flow_agent::Forget(flow_map::iterator flow) {
   SetOver(&flow->second);
   flows_.erase(flow);
 }
 
 void flow_agent::Tick(absl::Time now) {
+  HandBackWaiting(waiting_.TakeExpired(now), "waited-too-long");
   if (now < next_tick_) {
     return;
   }
@@ -266,17 +366,24 @@
       }
     }
   }
-  ForgetRequests(now);
+  ForgetBegun(true, now);
+  ForgetBegun(false, now);
+  AdmitWaiting(now);
   ReportLoad(now);
+  recorder_->Set(metric::kOpenFlows, open_flows_);
+  recorder_->Set(metric::kBusyFlows, busy_flows_);
 }
 
-void flow_agent::ForgetRequests(absl::Time now) {
-  while (!begun_.empty() && now >= begun_.front().first + kLongestRequest) {
-    const auto [since, id] = begun_.front();
-    begun_.pop_front();
+void flow_agent::ForgetBegun(bool opening, absl::Time now) {
+  begun_list& begun = opening ? begun_openings_ : begun_requests_;
+  const absl::Duration longest = opening ? kLongestOpening : kLongestRequest;
+  while (!begun.empty() && now >= begun.front().first + longest) {
+    const auto [since, id] = begun.front();
+    begun.pop_front();
     const auto flow = flows_.find(id);
     // It may have begun another one since.
-    if (flow != flows_.end() && flow->second.busy_since == since) {
+    if (flow != flows_.end() && flow->second.busy_since == since &&
+        flow->second.opening == opening) {
       SetBusy(&flow->second, false);
     }
   }
--- a/src/flows/flow_agent.h
+++ b/src/flows/flow_agent.h
@@ -1,11 +1,13 @@
 #ifndef CARDAMOMROUTE_FLOWS_FLOW_AGENT_H_
 #define CARDAMOMROUTE_FLOWS_FLOW_AGENT_H_
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <utility>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
@@ -14,11 +16,13 @@
 #include "directory/upstream_state.h"
 #include "flows/flow_id.h"
 #include "flows/flow_packet.h"
+#include "flows/opening_queue.h"
 #include "inner/flow_datagram.pb.h"
 
 namespace cardamomroute {
 
 class agent_outlet;
+class metric_recorder;
 
 /// A flow that was silent for this long has ended, whatever its ends think.
 inline constexpr absl::Duration kHeldFlowLife = absl::Seconds(60);
@@ -31,6 +35,18 @@
 /// caller has gone, mostly without a word.
 inline constexpr absl::Duration kLongestRequest = absl::Seconds(2);
 
+/// An opening that was delivered counts as a request until its caller sends
+/// one, but no longer than this: its caller may have gone.
+inline constexpr absl::Duration kLongestOpening = absl::Milliseconds(60);
+
+/// Requests that an upstream is given beyond its slots, so that it has the next
+/// one at hand. Upstreams queue a few themselves, and refuse more than that.
+inline constexpr uint32_t kRequestsBeyondSlots = 4;
+
+/// Openings that wait at most, for each slot of the upstream: more than could
+/// be served within a caller's time.
+inline constexpr uint32_t kWaitingPerSlot = 24;
+
 /// How often balancers are told of the load while it changes.
 inline constexpr absl::Duration kLoadInterval = absl::Milliseconds(250);
 
@@ -45,13 +61,13 @@
 /// what the upstream has answered. After a restart it lets the upstream say.
 class flow_agent {
  public:
-  /// `service` is the hash of the name of the upstream's service.
-  flow_agent(uint64_t service, agent_outlet* outlet);
+  /// `service` is the hash of the name of the upstream's service; `recorder`
+  /// has the metrics of an agent.
+  flow_agent(uint64_t service, agent_outlet* outlet, metric_recorder* recorder);
 
   /// What the upstream is at present. `knows_all_flows`: it cannot hold a flow
-  /// that this process has not seen. `has_ended`: it holds none any more.
-  void OnUpstream(upstream_state state, uint32_t slots, bool knows_all_flows,
-                  bool has_ended);
+  /// that this process has not seen.
+  void OnUpstream(upstream_state state, uint32_t slots, bool knows_all_flows);
 
   /// A packet from a balancer; `packet` is the head of carried.packet().
   void OnCarried(const ipv4_address& balancer,
@@ -63,9 +79,12 @@
   void OnUpstreamPacket(const flow_packet& packet,
                         absl::Span<const uint8_t> bytes, absl::Time now);
 
-  /// Forgets flows that are over and reports the load.
+  /// Lets openings go on, hands back those that have waited too long, forgets
+  /// flows that are over, and reports the load.
   void Tick(absl::Time now);
-  absl::Time NextDeadline() const { return next_tick_; }
+  absl::Time NextDeadline() const {
+    return std::min(next_tick_, waiting_.NextDeadline());
+  }
 
   size_t held_flows() const { return flows_.size(); }
   uint32_t busy_flows() const { return busy_flows_; }
@@ -79,9 +98,13 @@
     bool answered = false;
     /// The upstream has sent more: the flow is open here and nowhere else.
     bool confirmed = false;
-    /// A request waits for its answer.
+    /// A request waits for its answer, or the opening for the request.
     bool busy = false;
-    /// When its request went to the upstream.
+    /// It is the opening.
+    bool opening = false;
+    /// When its opening went to the upstream first.
+    absl::Time opened_at = absl::InfinitePast();
+    /// When its request or opening went to the upstream.
     absl::Time busy_since;
     bool caller_finished = false;
     bool upstream_finished = false;
@@ -95,39 +118,54 @@
     ipv4_address balancer;
   };
   using flow_map = absl::flat_hash_map<flow_id, held_flow>;
+  using begun_list = std::deque<std::pair<absl::Time, flow_id>>;
 
   void OnOpening(const ipv4_address& balancer,
                  const inner::carried_packet& carried, const flow_id& flow,
                  absl::Time now);
   bool IsOfThisFlow(const held_flow& held, const flow_packet& packet) const;
-  void Deliver(const ipv4_address& balancer,
-               const inner::carried_packet& carried);
+  void DeliverOpening(const ipv4_address& balancer, uint32_t attempt,
+                      const flow_id& flow, absl::Span<const uint8_t> bytes,
+                      absl::Time now);
+  void Deliver(const ipv4_address& balancer, uint32_t attempt,
+               absl::Span<const uint8_t> bytes);
+  bool HasRoom() const { return busy_flows_ < slots_ + kRequestsBeyondSlots; }
+  void AdmitWaiting(absl::Time now);
+  void HandBackWaiting(const std::vector<waiting_opening>& openings,
+                       const char* reason);
   void EndLostFlow(flow_map::iterator flow, const flow_packet& packet);
   void OnHandedBack(const flow_packet& packet, absl::Span<const uint8_t> bytes);
   void HandBack(const ipv4_address& balancer, uint32_t attempt,
                 absl::Span<const uint8_t> bytes, inner::return_reason reason);
-  void Notify(const ipv4_address& balancer, const flow_id& flow);
+  void Notify(const ipv4_address& balancer, const flow_id& flow,
+              bool waits = false);
   void FillLoad(inner::upstream_load* load) const;
   held_flow& FindOrAdd(const flow_id& flow);
   void NoteEnd(held_flow* held, absl::Time now);
   void SetOver(held_flow* held);
   void SetBusy(held_flow* held, bool busy);
+  void BeginWork(const flow_id& flow, held_flow* held, bool opening,
+                 absl::Time now);
+  void OnAnswerBegins(held_flow* held, absl::Time now);
   void Forget(flow_map::iterator flow);
-  void ForgetRequests(absl::Time now);
+  /// Openings or requests that nobody waits for any more.
+  void ForgetBegun(bool opening, absl::Time now);
   void ReportLoad(absl::Time now);
 
   const uint64_t service_;
   agent_outlet* const outlet_;
+  metric_recorder* const recorder_;
   upstream_state state_ = upstream_state::kAbsent;
   uint32_t slots_ = 1;
   bool knows_all_flows_ = false;
-  bool has_ended_ = false;
   flow_map flows_;
   /// Of `flows_`, those that are not over.
   uint32_t open_flows_ = 0;
   uint32_t busy_flows_ = 0;
-  /// Requests that were begun, and when, oldest first.
-  std::deque<std::pair<absl::Time, flow_id>> begun_;
+  opening_queue waiting_{kWaitingPerSlot};
+  /// Openings and requests that were begun, and when, oldest first.
+  begun_list begun_openings_;
+  begun_list begun_requests_;
   uint32_t next_mark_ = 1;
   std::array<marked_packet, kMarkedPackets> marked_{};
   /// When each was last heard from.
--- a/src/flows/flow_agent_test.cc
+++ b/src/flows/flow_agent_test.cc
@@ -1,8 +1,11 @@
 #include "flows/flow_agent.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 #include <vector>
 
+#include "base/metric_recorder.h"
 #include "flows/agent_outlet.h"
 
 namespace cardamomroute {
@@ -43,8 +46,8 @@
 };
 
 struct fixture {
-  fixture() : agent(kService, &out) {
-    agent.OnUpstream(upstream_state::kServing, 2, true, false);
+  fixture() : agent(kService, &out, &measured) {
+    agent.OnUpstream(upstream_state::kServing, 2, true);
   }
 
   static flow_packet FromCaller(bool opening, uint32_t acknowledged) {
@@ -88,9 +91,35 @@
   }
 
   recorder out;
+  metric_recorder measured{process_role::kAgent};
   flow_agent agent;
 };
 
+BOOST_FIXTURE_TEST_CASE(TimesOfOpeningsAndAnswersAreMeasured, fixture) {
+  inner::carried_packet carried;
+  carried.set_service(kService);
+  const auto at = [](int ms) { return kStart + absl::Milliseconds(ms); };
+  agent.OnCarried(kBalancer, carried, FromCaller(true, 0), at(0));
+  // A copy does not begin it anew.
+  agent.OnCarried(kBalancer, carried, FromCaller(true, 1), at(200));
+  agent.OnUpstreamPacket(FromUpstream(true), {}, at(203));
+  agent.OnCarried(kBalancer, carried, FromCaller(false, kFirstSequence + 1),
+                  at(210));
+  agent.OnUpstreamPacket(FromUpstream(false), {}, at(250));
+  agent.OnUpstreamPacket(FromUpstream(false), {}, at(260));
+  agent.Tick(at(300));
+  const auto measures = ToJson(measured.registry().Values());
+  const auto& times = measures["latencies"];
+  BOOST_TEST(times["flow_opening_time"]["count"] == 1);
+  BOOST_TEST(times["flow_opening_time"]["max_us"] == 203000.0);
+  BOOST_TEST(times["flow_answer_time"]["count"] == 1);
+  BOOST_TEST(times["flow_answer_time"]["max_us"] == 40000.0);
+  BOOST_TEST(measures["counters"]["openings_delivered"] == 2);
+  BOOST_TEST(measures["counters"]["upstream_packets"] == 3);
+  BOOST_TEST(measures["gauges"]["open_flows"] == 1);
+  BOOST_TEST(measures["gauges"]["upstream_serves"] == 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(TellsTheBalancerOfAnAnsweredOpening, fixture) {
   Carry(FromCaller(true, 0));
   BOOST_TEST(out.to_balancer.empty());
@@ -109,7 +138,7 @@
 BOOST_FIXTURE_TEST_CASE(TakesNoOpeningWhileDraining, fixture) {
   for (const upstream_state state :
        {upstream_state::kDraining, upstream_state::kAbsent}) {
-    agent.OnUpstream(state, 2, true, false);
+    agent.OnUpstream(state, 2, true);
     Carry(FromCaller(true, 0));
     BOOST_TEST(out.marks.empty());
     BOOST_TEST((LastReason() == inner::RETURN_NO_NEW_FLOWS));
@@ -118,7 +147,7 @@
 
 BOOST_FIXTURE_TEST_CASE(KeepsFlowsWhileDraining, fixture) {
   OpenFlow();
-  agent.OnUpstream(upstream_state::kDraining, 2, true, false);
+  agent.OnUpstream(upstream_state::kDraining, 2, true);
   const size_t before = out.marks.size();
   Carry(FromCaller(false, kFirstSequence + 11));
   BOOST_TEST(out.marks.size() == before + 1);
@@ -139,7 +168,7 @@
   BOOST_TEST(out.marks.empty());
   BOOST_TEST((LastReason() == inner::RETURN_NOT_HELD));
   // After a restart beside a living upstream that one has to say.
-  agent.OnUpstream(upstream_state::kServing, 2, false, false);
+  agent.OnUpstream(upstream_state::kServing, 2, false);
   Carry(FromCaller(false, 1));
   BOOST_TEST(out.marks.size() == 1U);
   Return(FromCaller(false, 1));
@@ -148,7 +177,7 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(LearnsFlowsFromItsUpstreamAfterARestart, fixture) {
-  agent.OnUpstream(upstream_state::kServing, 2, false, false);
+  agent.OnUpstream(upstream_state::kServing, 2, false);
   Carry(FromCaller(false, 1));
   agent.OnUpstreamPacket(FromUpstream(false), {}, kStart);
   BOOST_TEST(agent.held_flows() == 1U);
@@ -167,7 +196,7 @@
 
 BOOST_FIXTURE_TEST_CASE(ResetsFlowsOfAnUpstreamThatHasEnded, fixture) {
   OpenFlow();
-  agent.OnUpstream(upstream_state::kAbsent, 2, true, true);
+  agent.OnUpstream(upstream_state::kEnded, 2, true);
   const size_t before = out.marks.size();
   Carry(FromCaller(false, 77));
   BOOST_TEST(out.marks.size() == before);
@@ -177,7 +206,7 @@
 // Its heartbeats are missing; whether it lives is not known.
 BOOST_FIXTURE_TEST_CASE(KeepsFlowsOfASilentUpstream, fixture) {
   OpenFlow();
-  agent.OnUpstream(upstream_state::kAbsent, 2, true, false);
+  agent.OnUpstream(upstream_state::kAbsent, 2, true);
   const size_t before = out.marks.size();
   Carry(FromCaller(false, 77));
   BOOST_TEST(out.marks.size() == before + 1);
@@ -224,6 +253,100 @@
   BOOST_TEST(agent.held_flows() == 0U);
 }
 
+/// Openings of many callers at one upstream with two slots.
+struct burst : fixture {
+  static constexpr uint32_t kRoom = 2 + kRequestsBeyondSlots;
+
+  static flow_packet From(uint16_t port, bool opening) {
+    flow_packet packet = FromCaller(opening, opening ? 0 : kFirstSequence + 1);
+    packet.source.port = port;
+    return packet;
+  }
+  void OpenFrom(uint16_t port, int ms, uint32_t patience_ms = 1000) {
+    inner::carried_packet carried;
+    carried.set_service(kService);
+    carried.set_patience_ms(patience_ms);
+    agent.OnCarried(kBalancer, carried, From(port, true), At(ms));
+  }
+  void AskFrom(uint16_t port, int ms) {
+    inner::carried_packet carried;
+    carried.set_service(kService);
+    agent.OnCarried(kBalancer, carried, From(port, false), At(ms));
+  }
+  void Answer(uint16_t port, bool opening, int ms) {
+    flow_packet packet = FromUpstream(opening);
+    packet.destination.port = port;
+    agent.OnUpstreamPacket(packet, {}, At(ms));
+  }
+  static absl::Time At(int ms) { return kStart + absl::Milliseconds(ms); }
+  int64_t HandedBack() const {
+    return std::count_if(
+        out.to_balancer.begin(), out.to_balancer.end(),
+        [](const auto& datagram) { return datagram.has_returned(); });
+  }
+};
+
+// Pattern: opening burst at three times capacity.
+BOOST_FIXTURE_TEST_CASE(OpeningsWaitWhileTheUpstreamHasNoRoom, burst) {
+  for (uint16_t port = 1; port <= kRoom + 2; ++port) {
+    OpenFrom(port, port);
+  }
+  BOOST_TEST(out.marks.size() == kRoom);
+  BOOST_REQUIRE(out.to_balancer.size() == 2U);
+  BOOST_TEST(out.to_balancer[0].notice().waits());
+  // A copy of one that waits stays where it is.
+  OpenFrom(kRoom + 1, 200);
+  BOOST_TEST(out.marks.size() == kRoom);
+  BOOST_TEST(out.to_balancer.size() == 2U);
+  Answer(1, true, 10);
+  AskFrom(1, 14);
+  BOOST_TEST(out.marks.size() == kRoom + 1);
+  Answer(1, false, 30);
+  // The one that came last goes first.
+  BOOST_TEST(out.marks.size() == kRoom + 2);
+  BOOST_TEST(agent.busy_flows() == kRoom);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnOpeningThatWaitedTooLongIsHandedBack, burst) {
+  for (uint16_t port = 1; port <= kRoom; ++port) {
+    OpenFrom(port, 0);
+    Answer(port, true, 1);
+    AskFrom(port, 2);
+  }
+  OpenFrom(100, 5, 400);
+  BOOST_TEST((agent.NextDeadline() <= At(405)));
+  agent.Tick(At(404));
+  BOOST_TEST(HandedBack() == 0);
+  agent.Tick(At(405));
+  BOOST_TEST(HandedBack() == 1);
+  // One without patience does not wait for room.
+  OpenFrom(101, 500, 0);
+  agent.Tick(At(500));
+  BOOST_TEST(HandedBack() == 2);
+}
+
+// Pattern: drain during the burst.
+BOOST_FIXTURE_TEST_CASE(WaitingOpeningsAreHandedBackAtADrain, burst) {
+  for (uint16_t port = 1; port <= kRoom + 3; ++port) {
+    OpenFrom(port, 0);
+  }
+  agent.OnUpstream(upstream_state::kDraining, 2, true);
+  BOOST_TEST(HandedBack() == 3);
+  BOOST_TEST(out.marks.size() == kRoom);
+}
+
+// Pattern: retries that outlive their cause.
+BOOST_FIXTURE_TEST_CASE(AnOpeningWhoseCallerHasGoneMakesRoomSoon, burst) {
+  for (uint16_t port = 1; port <= kRoom; ++port) {
+    OpenFrom(port, 0);
+    Answer(port, true, 1);
+  }
+  OpenFrom(100, 10);
+  BOOST_TEST(out.marks.size() == kRoom);
+  agent.Tick(kStart + kLongestOpening);
+  BOOST_TEST(out.marks.size() == kRoom + 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/src/flows/flow_balancer.cc
+++ b/src/flows/flow_balancer.cc
@@ -5,6 +5,7 @@
 
 #include "base/bytes.h"
 #include "base/log.h"
+#include "base/metric_recorder.h"
 #include "flows/balancer_outlet.h"
 
 namespace cardamomroute {
@@ -15,7 +16,8 @@
 
 }  // namespace
 
-flow_balancer::flow_balancer(balancer_outlet* outlet) : outlet_(outlet) {}
+flow_balancer::flow_balancer(balancer_outlet* outlet, metric_recorder* recorder)
+    : outlet_(outlet), recorder_(recorder) {}
 
 void flow_balancer::OnRoutes(std::shared_ptr<const route_set> routes) {
   for (const ipv4_address& host : routes_->HostsMissingIn(*routes)) {
@@ -31,17 +33,27 @@
       .With("version", routes->version())
       .With("before", routes_->version())
       .With("routes", routes->size());
+  takes_up_held_ = takes_up_held_ || routes_->version() == 0;
   routes_ = std::move(routes);
+  recorder_->Set(metric::kRoutesVersion, routes_->version());
 }
 
 void flow_balancer::OnUpstreams(const std::vector<known_upstream>& known) {
   upstreams_.OnUpstreams(known);
+  recorder_->Set(metric::kKnownUpstreams, known.size());
+}
+
+void flow_balancer::OnSettled(bool settled) {
+  takes_up_held_ = takes_up_held_ || (settled && !settled_);
+  settled_ = settled;
+  recorder_->Set(metric::kUpstreamsSettled, settled ? 1 : 0);
 }
 
 void flow_balancer::OnCallerPacket(const flow_packet& packet,
                                    absl::Span<const uint8_t> bytes,
                                    absl::Time now) {
   const flow_id flow = FlowFromCaller(packet);
+  recorder_->Add(metric::kPacketsIn);
   if (packet.opening) {
     OnOpening(flow, packet, bytes, now);
     return;
@@ -49,7 +61,7 @@
   if (removed_hosts_.contains(flow.host)) {
     flows_.erase(flow);
     if (!packet.resetting) {
-      outlet_->ResetFlow(flow, packet.acknowledged);
+      Reset(flow, packet.acknowledged);
     }
     return;
   }
@@ -68,20 +80,23 @@
   const flow_route* route = routes_->Find(flow.host);
   if (route == nullptr) {
     // Without any routes it is not known what there is.
-    if (routes_->version() != 0) {
+    if (routes_->version() == 0) {
+      Hold(flow, packet, bytes, now);
+    } else {
       log_line(log_level::kInfo, "flow_refused")
           .With("flow", ToString(flow))
           .With("reason", "no-route")
           .With("routes_version", routes_->version());
-      outlet_->ResetFlow(flow, 0);
+      recorder_->Add(metric::kOpeningsRefusedNoRoute);
+      Reset(flow, 0);
     }
     return;
   }
   const auto found = flows_.find(flow);
   const bool is_copy = packet.acknowledged > 0;
   if (found != flows_.end() && (is_copy || found->second.held)) {
-    if (found->second.held) {
-      Send(found->second.holder, 0, bytes);
+    if (found->second.held || found->second.waits) {
+      SendOpening(*route, found->second, bytes, now);
       return;
     }
     upstreams_.OnUnanswered(found->second.holder, now);
@@ -93,6 +108,7 @@
   }
   cached_flow& cached = flows_[flow];
   cached = cached_flow();
+  cached.opened_at = now;
   TryNext(flow, *route, &cached, bytes, now);
 }
 
@@ -114,8 +130,9 @@
         .With("tries", cached->tries)
         .With("upstreams", upstreams_.size())
         .With("routes_version", routes_->version());
+    recorder_->Add(metric::kOpeningsRefusedNoUpstream);
     flows_.erase(flow);
-    outlet_->ResetFlow(flow, 0);
+    Reset(flow, 0);
     return;
   }
   log_line(log_level::kInfo, "flow_placed")
@@ -124,10 +141,27 @@
       .With("agent", ToString(ToEndpoint(agent)))
       .With("tries", cached->tries)
       .With("routes_version", routes_->version());
+  recorder_->Add(metric::kOpeningsPlaced);
   cached->tried.at(cached->tries++) = agent;
   cached->holder = agent;
+  cached->waits = false;
   cached->forget_at = now + kCachedFlowLife;
-  Send(agent, 0, bytes);
+  SendOpening(route, *cached, bytes, now);
+}
+
+// What the opening has waited elsewhere counts.
+void flow_balancer::SendOpening(const flow_route& route,
+                                const cached_flow& cached,
+                                absl::Span<const uint8_t> bytes,
+                                absl::Time now) {
+  const absl::Duration left = cached.opened_at + route.patience - now;
+  inner::carried_packet* carried = datagram_.mutable_carried();
+  carried->set_urgency(route.urgency);
+  carried->set_patience_ms(static_cast<uint32_t>(
+      std::max<int64_t>(absl::ToInt64Milliseconds(left), 0)));
+  Send(cached.holder, 0, bytes);
+  carried->clear_urgency();
+  carried->clear_patience_ms();
 }
 
 void flow_balancer::BeginSearch(const flow_id& flow, const flow_packet& packet,
@@ -147,42 +181,88 @@
                                   absl::Time now) {
   const flow_route* route = routes_->Find(flow.host);
   if (route == nullptr) {
+    if (routes_->version() == 0) {
+      Hold(flow, packet, bytes, now);
+    }
     return;
   }
   pending_search& search = searches_[flow];
   const ipv4_address agent =
       upstreams_.NextToAsk(HashOf(flow), *route, search.denied, now);
   if (agent == ipv4_address() || search.denied.size() >= kSearchedAgents) {
-    EndSearch(flow, packet);
+    EndSearch(flow, packet, bytes, now);
     return;
   }
   log_line(log_level::kDebug, "flow_searched")
       .With("flow", ToString(flow))
       .With("agent", ToString(ToEndpoint(agent)))
       .With("denied", search.denied.size());
+  recorder_->Add(metric::kFlowsSearched);
   search.agent = agent;
   search.asked_at = now;
+  search.goes_on = false;
+  // One that was silent before is asked once for each packet.
+  if (upstreams_.IsReachable(agent, now) &&
+      searches_.size() <= kMaxHeldPackets) {
+    search.goes_on = true;
+    search.head = packet;
+    search.bytes.assign(bytes.begin(), bytes.end());
+    next_search_step_ = std::min(next_search_step_, now + kSearchPatience);
+  }
   Send(agent, static_cast<uint32_t>(search.denied.size()) + 1, bytes);
 }
 
+void flow_balancer::StepSilentSearches(absl::Time now) {
+  next_search_step_ = absl::InfiniteFuture();
+  std::vector<flow_id> silent;
+  for (const auto& [flow, search] : searches_) {
+    if (!search.goes_on) {
+      continue;
+    }
+    const absl::Time due = search.asked_at + kSearchPatience;
+    if (now >= due) {
+      silent.push_back(flow);
+    } else {
+      next_search_step_ = std::min(next_search_step_, due);
+    }
+  }
+  for (const flow_id& flow : silent) {
+    pending_search& search = searches_[flow];
+    upstreams_.OnUnanswered(search.agent, now);
+    const flow_packet head = search.head;
+    const std::vector<uint8_t> bytes = std::move(search.bytes);
+    GoOnSearching(flow, head, bytes, now);
+  }
+}
+
 // Every agent that was asked has said that its upstream does not hold the flow;
 // one that is silent would not have answered, and the search stood still.
-void flow_balancer::EndSearch(const flow_id& flow, const flow_packet& packet) {
+void flow_balancer::EndSearch(const flow_id& flow, const flow_packet& packet,
+                              absl::Span<const uint8_t> bytes, absl::Time now) {
   const size_t steps = searches_[flow].denied.size();
   searches_.erase(flow);
+  recorder_->Add(metric::kFlowsNotFound);
   const bool is_nowhere = settled_ && steps > 0 && steps < kSearchedAgents;
   log_line(log_level::kInfo, "flow_not_found")
       .With("flow", ToString(flow))
       .With("steps", steps)
       .With("settled", settled_)
       .With("reset", is_nowhere && !packet.resetting);
-  if (is_nowhere && !packet.resetting) {
-    outlet_->ResetFlow(flow, packet.acknowledged);
+  if (!settled_) {
+    Hold(flow, packet, bytes, now);
+  } else if (is_nowhere && !packet.resetting) {
+    Reset(flow, packet.acknowledged);
   }
 }
 
+void flow_balancer::Reset(const flow_id& flow, uint32_t sequence) {
+  recorder_->Add(metric::kFlowsReset);
+  outlet_->ResetFlow(flow, sequence);
+}
+
 void flow_balancer::Send(const ipv4_address& agent, uint32_t attempt,
                          absl::Span<const uint8_t> bytes) {
+  recorder_->Add(metric::kPacketsForwarded);
   inner::carried_packet* carried = datagram_.mutable_carried();
   carried->set_service(upstreams_.ServiceOf(agent));
   carried->set_attempt(attempt);
@@ -194,6 +274,7 @@
                                const inner::returned_packet& returned,
                                const flow_packet& packet, absl::Time now) {
   const flow_id flow = FlowFromCaller(packet);
+  recorder_->Add(metric::kPacketsReturned);
   // Kept apart from `datagram_`, which may be filled while it is read.
   const std::string bytes = returned.carried().packet();
   const auto cached = flows_.find(flow);
@@ -243,7 +324,8 @@
   }
   cached_flow& cached = flows_[flow];
   cached.holder = agent;
-  cached.held = true;
+  cached.waits = notice.waits();
+  cached.held = !notice.waits();
   cached.forget_at = now + kCachedFlowLife;
 }
 
@@ -252,7 +334,51 @@
   upstreams_.OnLoad(agent, load);
 }
 
+// A later packet of the flow takes the place of the one before.
+void flow_balancer::Hold(const flow_id& flow, const flow_packet& packet,
+                         absl::Span<const uint8_t> bytes, absl::Time now) {
+  if (held_.size() >= kMaxHeldPackets && !held_.contains(flow)) {
+    recorder_->Add(metric::kPacketsDropped);
+    return;
+  }
+  recorder_->Add(metric::kPacketsHeld);
+  held_[flow] = {packet, {bytes.begin(), bytes.end()}, now};
+}
+
+// Callers that came last have most of their time left.
+void flow_balancer::TakeUpHeld(absl::Time now) {
+  takes_up_held_ = false;
+  std::vector<held_packet> taken;
+  taken.reserve(held_.size());
+  for (auto& [flow, waited] : held_) {
+    const absl::Duration life =
+        waited.head.opening ? kHeldOpeningLife : kHeldPacketLife;
+    if (now < waited.came_at + life) {
+      taken.push_back(std::move(waited));
+    }
+  }
+  log_line(log_level::kInfo, "held_packets_taken_up")
+      .With("taken", taken.size())
+      .With("too_old", held_.size() - taken.size())
+      .With("routes_version", routes_->version())
+      .With("settled", settled_);
+  held_.clear();
+  std::sort(taken.begin(), taken.end(),
+            [](const held_packet& a, const held_packet& b) {
+              return a.came_at > b.came_at;
+            });
+  for (const held_packet& waited : taken) {
+    OnCallerPacket(waited.head, waited.bytes, now);
+  }
+}
+
 void flow_balancer::Tick(absl::Time now) {
+  if (takes_up_held_) {
+    TakeUpHeld(now);
+  }
+  if (now >= next_search_step_) {
+    StepSilentSearches(now);
+  }
   if (now < next_sweep_) {
     return;
   }
@@ -269,6 +395,7 @@
       flows_.erase(present);
     }
   }
+  recorder_->Set(metric::kCachedFlows, flows_.size());
 }
 
 }  // namespace cardamomroute
--- a/src/flows/flow_balancer.h
+++ b/src/flows/flow_balancer.h
@@ -1,6 +1,7 @@
 #ifndef CARDAMOMROUTE_FLOWS_FLOW_BALANCER_H_
 #define CARDAMOMROUTE_FLOWS_FLOW_BALANCER_H_
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
@@ -22,6 +23,7 @@
 namespace cardamomroute {
 
 class balancer_outlet;
+class metric_recorder;
 
 /// Agents at which an opening is tried: as many as a caller sends copies of it.
 inline constexpr size_t kOpeningTries = 3;
@@ -33,10 +35,21 @@
 /// The same after a caller has ended its side.
 inline constexpr absl::Duration kEndedFlowLife = absl::Seconds(3);
 
-/// An agent that has not answered for so long when the next packet of a flow
-/// comes is passed over. Callers repeat a packet after 200 ms.
+/// An agent that was asked for a flow and has not answered for so long is
+/// passed over. Callers repeat a packet after 200 ms.
 inline constexpr absl::Duration kSearchPatience = absl::Milliseconds(100);
 
+/// How long an opening waits for routes and upstreams to be known. A caller
+/// sends the last copy of it after 0.6 s and gives up after 1.4 s.
+inline constexpr absl::Duration kHeldOpeningLife = absl::Milliseconds(800);
+
+/// The same for other packets. A caller repeats them within 1.6 s.
+inline constexpr absl::Duration kHeldPacketLife = absl::Milliseconds(1600);
+
+/// Packets that wait at most, one a flow; and searches at most that go on by
+/// themselves.
+inline constexpr size_t kMaxHeldPackets = 512;
+
 /// Flows that are remembered at most; others are looked for.
 inline constexpr size_t kMaxCachedFlows = size_t{1} << 18;
 
@@ -45,13 +58,14 @@
 /// says whether its upstream holds a flow.
 class flow_balancer {
  public:
-  explicit flow_balancer(balancer_outlet* outlet);
+  /// `recorder` has the metrics of a balancer.
+  flow_balancer(balancer_outlet* outlet, metric_recorder* recorder);
 
   void OnRoutes(std::shared_ptr<const route_set> routes);
   void OnUpstreams(const std::vector<known_upstream>& known);
 
   /// Whether the upstreams are all that there are.
-  void OnSettled(bool settled) { settled_ = settled; }
+  void OnSettled(bool settled);
 
   /// A packet of a caller; `bytes` is all of it.
   void OnCallerPacket(const flow_packet& packet,
@@ -68,8 +82,12 @@
 
   void OnLoad(const ipv4_address& agent, const inner::upstream_load& load);
 
-  /// Forgets flows that are over.
+  /// Takes up packets that waited, where enough is known now, goes on with
+  /// searches whose agent is silent, and forgets flows that are over.
   void Tick(absl::Time now);
+  absl::Time NextDeadline() const {
+    return std::min(next_sweep_, next_search_step_);
+  }
 
   size_t cached_flows() const { return flows_.size(); }
 
@@ -81,6 +99,9 @@
     uint8_t tries = 0;
     /// The holder has said that its upstream has the flow.
     bool held = false;
+    /// The holder has said that the opening waits there.
+    bool waits = false;
+    absl::Time opened_at;
     absl::Time forget_at;
   };
 
@@ -90,8 +111,23 @@
     ipv4_address agent;
     absl::Time asked_at;
     std::vector<ipv4_address> denied;
+    /// Goes on by itself where the agent is silent, with this packet; else it
+    /// waits for the caller's next one.
+    bool goes_on = false;
+    flow_packet head;
+    std::vector<uint8_t> bytes;
   };
 
+  /// A packet that came before enough was known to say where it goes.
+  struct held_packet {
+    flow_packet head;
+    std::vector<uint8_t> bytes;
+    absl::Time came_at;
+  };
+
+  void Hold(const flow_id& flow, const flow_packet& packet,
+            absl::Span<const uint8_t> bytes, absl::Time now);
+  void TakeUpHeld(absl::Time now);
   void OnOpening(const flow_id& flow, const flow_packet& packet,
                  absl::Span<const uint8_t> bytes, absl::Time now);
   void TryNext(const flow_id& flow, const flow_route& route,
@@ -101,11 +137,17 @@
                    absl::Span<const uint8_t> bytes, absl::Time now);
   void GoOnSearching(const flow_id& flow, const flow_packet& packet,
                      absl::Span<const uint8_t> bytes, absl::Time now);
-  void EndSearch(const flow_id& flow, const flow_packet& packet);
+  void StepSilentSearches(absl::Time now);
+  void EndSearch(const flow_id& flow, const flow_packet& packet,
+                 absl::Span<const uint8_t> bytes, absl::Time now);
+  void Reset(const flow_id& flow, uint32_t sequence);
+  void SendOpening(const flow_route& route, const cached_flow& cached,
+                   absl::Span<const uint8_t> bytes, absl::Time now);
   void Send(const ipv4_address& agent, uint32_t attempt,
             absl::Span<const uint8_t> bytes);
 
   balancer_outlet* const outlet_;
+  metric_recorder* const recorder_;
   std::shared_ptr<const route_set> routes_ = std::make_shared<route_set>();
   /// Addresses of routes that were removed while this process ran.
   absl::flat_hash_set<ipv4_address> removed_hosts_;
@@ -116,7 +158,11 @@
   /// Filled anew for each packet, so that it keeps its memory.
   inner::flow_datagram datagram_;
   bool settled_ = false;
+  absl::flat_hash_map<flow_id, held_packet> held_;
+  /// More is known than when the held packets came.
+  bool takes_up_held_ = false;
   absl::Time next_sweep_ = absl::InfinitePast();
+  absl::Time next_search_step_ = absl::InfiniteFuture();
 };
 
 }  // namespace cardamomroute
--- a/src/flows/flow_balancer_test.cc
+++ b/src/flows/flow_balancer_test.cc
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <utility>
 #include <vector>
 
+#include "base/metric_recorder.h"
 #include "flows/balancer_outlet.h"
 
 namespace cardamomroute {
@@ -49,6 +51,7 @@
     inner::route_record* route = list.add_routes();
     route->set_host(kHost.ip);
     route->set_port(kHost.port);
+    route->set_timeout_ms(500);
     inner::route_share* share = route->add_shares();
     share->set_service("desk");
     share->set_weight(1);
@@ -75,7 +78,7 @@
 }
 
 struct fixture {
-  fixture() : balancer(&out) {
+  fixture() : balancer(&out, &measured) {
     balancer.OnRoutes(Routes(1, true));
     balancer.OnUpstreams({Upstream(1), Upstream(2), Upstream(3)});
     balancer.OnSettled(true);
@@ -90,7 +93,12 @@
   }
   const ipv4_address& LastAgent() const { return out.sent.back().first; }
 
+  uint64_t Measured(const char* name) const {
+    return ToJson(measured.registry().Values())["counters"][name];
+  }
+
   recorder out;
+  metric_recorder measured{process_role::kBalancer};
   flow_balancer balancer;
 };
 
@@ -156,9 +164,160 @@
   BOOST_TEST(out.resets.size() == 1U);
 }
 
+BOOST_FIXTURE_TEST_CASE(EachOutcomeOfAnOpeningIsCounted, fixture) {
+  for (int i = 0; i < 3; ++i) {
+    Take(Opening());
+    HandBack(LastAgent(), Opening());
+    HandBack(LastAgent(), Opening());
+    HandBack(LastAgent(), Opening());
+  }
+  flow_packet elsewhere = Opening();
+  elsewhere.destination.port = 1;
+  Take(elsewhere);
+  BOOST_TEST(Measured("packets_in") == 4U);
+  BOOST_TEST(Measured("openings_placed") == 9U);
+  BOOST_TEST(Measured("packets_forwarded") == 9U);
+  BOOST_TEST(Measured("packets_returned") == 9U);
+  BOOST_TEST(Measured("openings_refused_no_upstream") == 3U);
+  BOOST_TEST(Measured("openings_refused_no_route") == 1U);
+  BOOST_TEST(Measured("flows_reset") == out.resets.size());
+  Take(Data());
+  HandBack(LastAgent(), Data());
+  HandBack(LastAgent(), Data());
+  HandBack(LastAgent(), Data());
+  BOOST_TEST(Measured("flows_searched") == 3U);
+  BOOST_TEST(Measured("flows_not_found") == 1U);
+}
+
+// Pattern: all have stopped, and callers are back before the routes are.
+BOOST_AUTO_TEST_CASE(PacketsThatCameTooEarlyAreTakenUpLatestFirst) {
+  recorder out;
+  metric_recorder measured(process_role::kBalancer);
+  flow_balancer balancer(&out, &measured);
+  const auto at = [](int ms) { return kStart + absl::Milliseconds(ms); };
+  const auto opening_from = [](uint16_t port, uint32_t copy) {
+    flow_packet packet = Opening(copy);
+    packet.source.port = port;
+    return packet;
+  };
+  balancer.OnCallerPacket(opening_from(1, 0), std::vector<uint8_t>{1}, at(0));
+  balancer.OnCallerPacket(opening_from(2, 0), std::vector<uint8_t>{2}, at(100));
+  balancer.OnCallerPacket(opening_from(3, 0), std::vector<uint8_t>{3}, at(300));
+  balancer.OnCallerPacket(opening_from(2, 1), std::vector<uint8_t>{4}, at(400));
+  balancer.Tick(at(500));
+  BOOST_TEST(out.sent.empty());
+  balancer.OnRoutes(Routes(1, true));
+  balancer.OnUpstreams({Upstream(1)});
+  balancer.Tick(at(850));
+  BOOST_REQUIRE(out.sent.size() == 2U);
+  BOOST_TEST(out.sent[0].second.carried().packet() == "\4");
+  BOOST_TEST(out.sent[1].second.carried().packet() == "\3");
+  balancer.Tick(at(2000));
+  BOOST_TEST(out.sent.size() == 2U);
+  BOOST_TEST(out.resets.empty());
+}
+
+// The same, and the flow's upstream has ended: the caller waits no longer than
+// it takes to be sure of that.
+BOOST_AUTO_TEST_CASE(ASearchThatEndedTooEarlyIsMadeAgain) {
+  recorder out;
+  metric_recorder measured(process_role::kBalancer);
+  flow_balancer balancer(&out, &measured);
+  balancer.OnRoutes(Routes(1, true));
+  balancer.OnUpstreams({Upstream(1)});
+  balancer.OnCallerPacket(Data(), {}, kStart);
+  balancer.OnReturned(Agent(1), {}, Data(), kStart);
+  BOOST_TEST(out.resets.empty());
+  balancer.OnUpstreams({Upstream(1), Upstream(2)});
+  balancer.OnSettled(true);
+  balancer.Tick(kStart + absl::Milliseconds(400));
+  BOOST_REQUIRE(out.sent.size() == 2U);
+  balancer.OnReturned(out.sent.back().first, {}, Data(), kStart);
+  BOOST_TEST(out.resets.empty());
+  balancer.OnReturned(out.sent.back().first, {}, Data(), kStart);
+  BOOST_TEST(out.resets.size() == 1U);
+}
+
+// Pattern: opening burst at three times capacity.
+BOOST_FIXTURE_TEST_CASE(ACopyOfAnOpeningThatWaitsGoesToTheSameAgent, fixture) {
+  inner::flow_notice notice;
+  notice.set_caller_ip(kCaller.ip);
+  notice.set_caller_port(kCaller.port);
+  notice.set_host_ip(kHost.ip);
+  notice.set_host_port(kHost.port);
+  notice.set_waits(true);
+  Take(Opening());
+  const ipv4_address first = LastAgent();
+  BOOST_TEST(out.sent.back().second.carried().patience_ms() == 250U);
+  balancer.OnNotice(first, notice, kStart);
+  Take(Opening(1), kStart + absl::Milliseconds(200));
+  BOOST_REQUIRE(out.sent.size() == 2U);
+  BOOST_TEST((LastAgent() == first));
+  BOOST_TEST(out.sent.back().second.carried().patience_ms() == 50U);
+  // Handed back, it may still find room elsewhere, but waits no longer.
+  HandBack(first, Opening(1), kStart + absl::Milliseconds(250));
+  BOOST_TEST((LastAgent() != first));
+  BOOST_TEST(out.sent.back().second.carried().patience_ms() == 0U);
+  BOOST_TEST(out.resets.empty());
+}
+
+// Pattern: the VM of a lost upstream is gone too, and did not say so.
+BOOST_FIXTURE_TEST_CASE(ASearchPassesOverASilentAgentByItself, fixture) {
+  Take(Data());
+  const ipv4_address first = LastAgent();
+  balancer.Tick(kStart + kSearchPatience - absl::Milliseconds(1));
+  BOOST_TEST(out.sent.size() == 1U);
+  balancer.Tick(kStart + kSearchPatience);
+  BOOST_REQUIRE(out.sent.size() == 2U);
+  BOOST_TEST((LastAgent() != first));
+  HandBack(LastAgent(), Data(), kStart + kSearchPatience);
+  HandBack(LastAgent(), Data(), kStart + kSearchPatience);
+  // It is the only one left, and is asked once more for this packet.
+  BOOST_TEST((LastAgent() == first));
+  const size_t sent = out.sent.size();
+  balancer.Tick(kStart + absl::Milliseconds(900));
+  BOOST_TEST(out.sent.size() == sent);
+  BOOST_TEST(out.resets.empty());
+}
+
+// The same, and its agent had said that the upstream has ended.
+BOOST_FIXTURE_TEST_CASE(ASilentAgentOfAnEndedUpstreamIsNotAwaited, fixture) {
+  known_upstream ended = Upstream(1);
+  ended.state = upstream_state::kEnded;
+  ended.silent = true;
+  balancer.OnUpstreams({ended, Upstream(2)});
+  Take(Data());
+  BOOST_TEST((LastAgent() == Agent(2)));
+  HandBack(LastAgent(), Data());
+  BOOST_TEST(out.resets.size() == 1U);
+  // One that answers is asked: its upstream may have started since.
+  ended.silent = false;
+  balancer.OnUpstreams({ended, Upstream(2)});
+  Take(Data());
+  HandBack(LastAgent(), Data());
+  BOOST_TEST((LastAgent() == Agent(1)));
+  BOOST_TEST(out.resets.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(OnlySoManyPacketsWait) {
+  recorder out;
+  metric_recorder measured(process_role::kBalancer);
+  flow_balancer balancer(&out, &measured);
+  flow_packet packet = Opening();
+  for (size_t i = 0; i < kMaxHeldPackets + 5; ++i) {
+    packet.source.port = static_cast<uint16_t>(i + 1);
+    balancer.OnCallerPacket(packet, {}, kStart);
+  }
+  balancer.OnRoutes(Routes(1, true));
+  balancer.OnUpstreams({Upstream(1)});
+  balancer.Tick(kStart);
+  BOOST_TEST(out.sent.size() == kMaxHeldPackets);
+}
+
 BOOST_AUTO_TEST_CASE(WithoutRoutesNothingIsReset) {
   recorder out;
-  flow_balancer balancer(&out);
+  metric_recorder measured(process_role::kBalancer);
+  flow_balancer balancer(&out, &measured);
   balancer.OnCallerPacket(Opening(), {}, kStart);
   balancer.OnCallerPacket(Data(), {}, kStart);
   BOOST_TEST(out.resets.empty());
--- a/src/flows/flow_world_test_support.cc
+++ b/src/flows/flow_world_test_support.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/concat.h"
+#include "base/metric_recorder.h"
 
 namespace cardamomroute {
 namespace {
@@ -49,7 +50,7 @@
 class flow_world::balancer_end : public balancer_outlet {
  public:
   balancer_end(flow_world* world, size_t index)
-      : world_(world), index_(index), core(this) {}
+      : world_(world), index_(index), core(this, &measured_) {}
 
   ipv4_address Address() const {
     return {kBalancerIp + static_cast<uint32_t>(index_), kPort};
@@ -70,6 +71,7 @@
  private:
   flow_world* const world_;
   const size_t index_;
+  metric_recorder measured_{process_role::kBalancer};
 
  public:
   flow_balancer core;
@@ -81,7 +83,7 @@
       : world_(world),
         index_(index),
         core(HashOfService(ServiceName(world->upstreams_.at(index).service)),
-             this) {}
+             this, &measured_) {}
 
   ipv4_address Address() const {
     return {kAgentIp + static_cast<uint32_t>(index_), kPort};
@@ -128,6 +130,7 @@
  private:
   flow_world* const world_;
   const size_t index_;
+  metric_recorder measured_{process_role::kAgent};
 
  public:
   flow_agent core;
@@ -146,7 +149,7 @@
   }
   for (size_t i = 0; i < wanted.agents; ++i) {
     agents_.push_back(std::make_unique<agent_end>(this, i));
-    agents_[i]->core.OnUpstream(upstream_state::kServing, 2, true, false);
+    agents_[i]->core.OnUpstream(upstream_state::kServing, 2, true);
   }
   for (size_t i = 0; i < wanted.balancers; ++i) {
     balancers_.push_back(nullptr);
@@ -217,7 +220,7 @@
   agents_[agent]->core.OnUpstream(upstreams_[agent].draining
                                       ? upstream_state::kDraining
                                       : upstream_state::kServing,
-                                  2, false, false);
+                                  2, false);
   upstreams_[agent].seen_from_start = false;
 }
 
@@ -225,7 +228,7 @@
   upstreams_.at(agent).held.clear();
   upstreams_[agent].draining = false;
   upstreams_[agent].seen_from_start = true;
-  agents_[agent]->core.OnUpstream(upstream_state::kServing, 2, true, false);
+  agents_[agent]->core.OnUpstream(upstream_state::kServing, 2, true);
   Tell();
 }
 
@@ -233,7 +236,7 @@
 void flow_world::Drain(size_t agent) {
   upstreams_.at(agent).draining = true;
   agents_[agent]->core.OnUpstream(upstream_state::kDraining, 2,
-                                  upstreams_[agent].seen_from_start, false);
+                                  upstreams_[agent].seen_from_start);
 }
 
 size_t flow_world::Open() {
--- a/src/flows/route_set.cc
+++ b/src/flows/route_set.cc
@@ -1,5 +1,7 @@
 #include "flows/route_set.h"
 
+#include <algorithm>
+
 #include "flows/flow_id.h"
 
 namespace cardamomroute {
@@ -36,6 +38,10 @@
     flow_route& route =
         routes_[{record.host(), static_cast<uint16_t>(record.port())}];
     route.name = record.name();
+    route.urgency = record.urgency();
+    route.patience =
+        std::min(kLongestOpeningWait,
+                 absl::Milliseconds(record.timeout_ms()) / kWaitsARequestTime);
     for (const inner::route_share& share : record.shares()) {
       route.shares.push_back({HashOfService(share.service()), share.weight()});
     }
--- a/src/flows/route_set.h
+++ b/src/flows/route_set.h
@@ -12,6 +12,14 @@
 
 namespace cardamomroute {
 
+/// An opening waits so long at most. A caller gives up after 1.4 s, and must
+/// have time for its request afterwards.
+inline constexpr absl::Duration kLongestOpeningWait = absl::Milliseconds(1000);
+
+/// The same as a share of the time that the route gives a request, so that a
+/// caller that is refused can still try again.
+inline constexpr int kWaitsARequestTime = 2;
+
 /// A service that takes a share of a route's flows.
 struct flow_share {
   /// Hash of the service's name.
@@ -24,6 +32,10 @@
   std::string name;
   /// In the operator's order; the sum of the weights is not 0.
   std::vector<flow_share> shares;
+  /// Flows of the lowest are served first.
+  uint32_t urgency = 0;
+  /// How long an opening may wait for an upstream to have room.
+  absl::Duration patience;
 
   /// The share that a flow with this hash falls to; shares in `excluded` (bit i
   /// for share i) are passed over. Null where none is left.
--- a/src/flows/upstream_table.cc
+++ b/src/flows/upstream_table.cc
@@ -63,6 +63,12 @@
   return found != places_.end() ? &upstreams_[found->second] : nullptr;
 }
 
+bool upstream_table::IsReachable(const ipv4_address& agent,
+                                 absl::Time now) const {
+  const auto found = places_.find(agent);
+  return found != places_.end() && upstreams_[found->second].IsReachable(now);
+}
+
 uint64_t upstream_table::ServiceOf(const ipv4_address& agent) const {
   const auto found = places_.find(agent);
   return found != places_.end() ? upstreams_[found->second].service : 0;
@@ -139,11 +145,15 @@
         denied.end()) {
       continue;
     }
+    if (item.known.state == upstream_state::kEnded && !item.IsReachable(now)) {
+      continue;  // It would deny the flow.
+    }
     const bool is_of_route = std::any_of(
         route.shares.begin(), route.shares.end(),
         [&](const flow_share& share) { return share.service == item.service; });
     const search_rank rank{item.IsReachable(now), is_of_route,
-                           item.known.state != upstream_state::kAbsent,
+                           item.known.state == upstream_state::kServing ||
+                               item.known.state == upstream_state::kDraining,
                            RendezvousWeight(flow_hash, item.known.agent)};
     if (next == nullptr || rank > best) {
       best = rank;
--- a/src/flows/upstream_table.h
+++ b/src/flows/upstream_table.h
@@ -54,8 +54,9 @@
 
   /// The agent to ask next in the search for a flow, passing over those that
   /// have denied it; a zero address where none is left. Agents that may not
-  /// answer come last. Those of the route's services come first, but a flow may
-  /// be held by a service that the route had in an older configuration.
+  /// answer come last, or not at all where their upstream has ended. Those of
+  /// the route's services come first, but a flow may be held by a service that
+  /// the route had in an older configuration.
   ipv4_address NextToAsk(uint64_t flow_hash, const flow_route& route,
                          absl::Span<const ipv4_address> denied,
                          absl::Time now) const;
@@ -64,6 +65,9 @@
   /// for an unknown agent.
   uint64_t ServiceOf(const ipv4_address& agent) const;
 
+  /// Whether the agent is likely to answer.
+  bool IsReachable(const ipv4_address& agent, absl::Time now) const;
+
   size_t size() const { return upstreams_.size(); }
 
  private:
--- a/src/flows/upstream_watch.cc
+++ b/src/flows/upstream_watch.cc
@@ -41,7 +41,10 @@
     present_ = sender;
     state_ = upstream_state::kServing;
     has_ended_ = false;
+    has_left_ = false;
     heard_from_start_ = beat.sequence <= kFirstBeats;
+  } else if (has_ended_ && !has_left_) {
+    OnPacket();
   }
   sequence_ = beat.sequence;
   slots_ = beat.slots;
@@ -54,19 +57,25 @@
 }
 
 void upstream_watch::OnLeave(const std::string& id) {
-  if (id == present_.id) {
-    OnEnded();
+  if (!id.empty() && id == present_.id) {
+    has_left_ = true;
+    OnRefused();
   }
 }
 
-void upstream_watch::OnEnded() {
-  if (!present_.id.empty()) {
-    state_ = upstream_state::kAbsent;
-    has_ended_ = true;
+void upstream_watch::OnRefused() { has_ended_ = true; }
+
+void upstream_watch::OnPacket() {
+  if (has_ended_ && !has_left_) {
+    has_ended_ = false;
+    heard_from_start_ = false;
   }
 }
 
 upstream_state upstream_watch::State(absl::Time now) const {
+  if (has_ended_) {
+    return upstream_state::kEnded;
+  }
   return IsSilent(now) ? upstream_state::kAbsent : state_;
 }
 
--- a/src/flows/upstream_watch.h
+++ b/src/flows/upstream_watch.h
@@ -37,8 +37,11 @@
   /// The upstream with this id is about to end.
   void OnLeave(const std::string& id);
 
-  /// Nobody listens at the upstream's address any more.
-  void OnEnded();
+  /// Nobody listens at the upstream's address.
+  void OnRefused();
+
+  /// A packet of the upstream. One that was taken for ended may hold flows.
+  void OnPacket();
 
   /// Absent where its heartbeats have ceased.
   upstream_state State(absl::Time now) const;
@@ -49,9 +52,6 @@
   /// its present incarnation was heard from its beginning, or has ended.
   bool KnowsAllFlows() const { return heard_from_start_ || has_ended_; }
 
-  /// True where the present incarnation is known to have ended.
-  bool has_ended() const { return has_ended_; }
-
  private:
   struct incarnation {
     std::string id;
@@ -74,6 +74,8 @@
   absl::Time silent_at_ = absl::InfinitePast();
   bool heard_from_start_ = false;
   bool has_ended_ = false;
+  /// It has said that it ends.
+  bool has_left_ = false;
 };
 
 }  // namespace cardamomroute
--- a/src/flows/upstream_watch_test.cc
+++ b/src/flows/upstream_watch_test.cc
@@ -34,10 +34,39 @@
   BOOST_TEST((watch.State(kStart) == upstream_state::kDraining));
   BOOST_TEST((watch.State(kStart + 4 * kInterval) == upstream_state::kAbsent));
   watch.OnLeave("b");
-  BOOST_TEST(!watch.has_ended());
+  BOOST_TEST((watch.State(kStart) != upstream_state::kEnded));
   watch.OnLeave("a");
-  BOOST_TEST(watch.has_ended());
-  BOOST_TEST((watch.State(kStart) == upstream_state::kAbsent));
+  BOOST_TEST((watch.State(kStart) == upstream_state::kEnded));
+  watch.OnPacket();
+  watch.OnBeat(Beat("a", 10, 3), kStart);
+  BOOST_TEST((watch.State(kStart) == upstream_state::kEnded));
+}
+
+// Pattern: upstreams crash and say nothing.
+BOOST_AUTO_TEST_CASE(OneThatRefusesConnectionsHasEnded) {
+  upstream_watch watch(kInterval);
+  BOOST_TEST(!watch.KnowsAllFlows());
+  watch.OnRefused();
+  BOOST_TEST((watch.State(kStart) == upstream_state::kEnded));
+  BOOST_TEST(watch.KnowsAllFlows());
+  watch.OnBeat(Beat("a", 10, 1), kStart);
+  BOOST_TEST((watch.State(kStart) == upstream_state::kServing));
+  watch.OnRefused();
+  watch.OnBeat(Beat("b", 20, 1), kStart);
+  BOOST_TEST((watch.State(kStart) == upstream_state::kServing));
+}
+
+BOOST_AUTO_TEST_CASE(OneThatIsHeardAfterAllMayHoldFlows) {
+  upstream_watch watch(kInterval);
+  watch.OnBeat(Beat("a", 10, 1, true), kStart);
+  watch.OnRefused();
+  watch.OnPacket();
+  BOOST_TEST((watch.State(kStart) == upstream_state::kDraining));
+  BOOST_TEST(!watch.KnowsAllFlows());
+  watch.OnRefused();
+  watch.OnBeat(Beat("a", 10, 2), kStart);
+  BOOST_TEST((watch.State(kStart) == upstream_state::kDraining));
+  BOOST_TEST(!watch.KnowsAllFlows());
 }
 
 BOOST_AUTO_TEST_CASE(TakesNothingBack) {
@@ -66,7 +95,7 @@
               beat_outcome::kNewIncarnation));
   BOOST_TEST((watch.OnBeat(Beat("b", 20, 99), kStart) == beat_outcome::kLate));
   watch.OnLeave("a");
-  BOOST_TEST(!watch.has_ended());
+  BOOST_TEST((watch.State(kStart) != upstream_state::kEnded));
 }
 
 // The clock that the time of start comes from was put back meanwhile.
