--- a/tools/case.py
+++ b/tools/case.py
@@ -19,7 +19,11 @@
 # before them those about requests that were not served.
 LOG_TAIL_LINES = 40
 LOG_FAILURE_LINES = 40
-FAILURE_MARKS = ("decision=unknown", "decision=refused", "decision=not-run")
+FAILURE_MARKS = (
+    "decision=unknown", "decision=refused", "decision=not-run",
+    "reason=lease-expired", "reason=no-target", "reason=is-draining",
+    "reason=foreign-service", "reason=too-many-hops", "reason=buffer-full",
+    "reason=not-member", "event=route ")
 
 
 def serving_site(folder, description, kind=Site, **options):
