Searches say what they cost, and polls how long control takes

New metrics of a balancer: search_bytes, flow_search_time, control_answer_time, control_answers_late. flow_not_found has bytes and time of the search, flow_search_ended is new, and control_member_lost says for how long the member was silent and how many answers came late. No decision is changed.

Test: directory/tests, AnswersThatComeLateAreCounted.

--- a/src/base/metric_table.h
+++ b/src/base/metric_table.h
@@ -30,6 +30,7 @@
   kOpeningsRefusedNoUpstream,
   kPacketsReturned,
   kFlowsSearched,
+  kSearchBytes,
   kFlowsNotFound,
   kFlowsReset,
   kPacketsHeld,
@@ -37,6 +38,9 @@
   kKnownUpstreams,
   kRoutesVersion,
   kUpstreamsSettled,
+  kControlAnswersLate,
+  kFlowSearchTime,
+  kControlAnswerTime,
   // Agents: packets.
   kAgentPacketsIn,
   kAgentPacketsDropped,
--- a/src/directory/directory_follower.cc
+++ b/src/directory/directory_follower.cc
@@ -4,12 +4,16 @@
 #include <utility>
 
 #include "base/log.h"
+#include "base/metric_recorder.h"
 
 namespace cardamomroute {
 
 directory_follower::directory_follower(std::vector<ipv4_address> seeds,
-                                       uint64_t seed)
-    : contacts_(std::move(seeds)), next_poll_(seed | 1) {}
+                                       uint64_t seed,
+                                       metric_recorder* recorder)
+    : recorder_(recorder),
+      contacts_(std::move(seeds)),
+      next_poll_(seed | 1) {}
 
 // Members that are not contacted any more have no say.
 void directory_follower::NoteMembers(absl::Time now) {
@@ -41,13 +45,16 @@
       asked.answers = false;
       list_changed_ = true;
       log_line(log_level::kWarn, "control_member_lost")
-          .With("member", ToString(ToEndpoint(address)));
+          .With("member", ToString(ToEndpoint(address)))
+          .With("silent_ms", absl::ToInt64Milliseconds(now - asked.heard_at))
+          .With("late_answers", asked.late_answers);
     }
     if (now < asked.due) {
       next_ = std::min(next_, asked.due);
       continue;
     }
     asked.poll = next_poll_ += 2;
+    asked.asked_at = now;
     asked.due = now + timeout;
     due_poll& sent = due.emplace_back();
     sent.to = address;
@@ -65,10 +72,17 @@
                                 const inner::directory_page& page,
                                 absl::Time now) {
   const auto found = members_.find(from);
-  if (found == members_.end() || page.poll() != found->second.poll) {
+  if (found == members_.end()) {
     return;
   }
   member& teller = found->second;
+  if (page.poll() != teller.poll) {
+    ++teller.late_answers;
+    recorder_->Add(metric::kControlAnswersLate);
+    return;
+  }
+  recorder_->Record(metric::kControlAnswerTime, now - teller.asked_at);
+  teller.late_answers = 0;
   teller.poll = 0;
   teller.heard_at = now;
   if (!teller.answers) {
--- a/src/directory/directory_follower.h
+++ b/src/directory/directory_follower.h
@@ -17,6 +17,8 @@
 
 namespace cardamomroute {
 
+class metric_recorder;
+
 /// How often a balancer asks each member of the control group.
 inline constexpr absl::Duration kPollInterval = absl::Milliseconds(250);
 
@@ -60,8 +62,10 @@
 /// what has been committed, so the highest version is the newest.
 class directory_follower {
  public:
-  /// `seed` makes its polls differ from those of other processes.
-  directory_follower(std::vector<ipv4_address> seeds, uint64_t seed);
+  /// `seed` makes its polls differ from those of other processes; `recorder`
+  /// has the metrics of a balancer.
+  directory_follower(std::vector<ipv4_address> seeds, uint64_t seed,
+                     metric_recorder* recorder);
 
   void OnSeeds(std::vector<ipv4_address> seeds) {
     contacts_.OnSeeds(std::move(seeds));
@@ -96,9 +100,12 @@
     uint64_t version = 0;
     /// Of the poll under way; 0 where none is.
     uint64_t poll = 0;
+    absl::Time asked_at = absl::InfinitePast();
     absl::Time due = absl::InfinitePast();
     absl::Time heard_at = absl::InfinitePast();
     bool answers = false;
+    /// Answers that came after another poll was sent, since the last in time.
+    uint32_t late_answers = 0;
     /// Of its process at its last answer.
     absl::Duration age;
     /// All of its list is here.
@@ -111,6 +118,7 @@
   std::vector<known_upstream> Merge() const;
   void NoteMembers(absl::Time now);
 
+  metric_recorder* const recorder_;
   control_contacts contacts_;
   uint64_t next_poll_;
   absl::Time next_ = absl::InfinitePast();
--- a/src/directory/directory_test.cc
+++ b/src/directory/directory_test.cc
@@ -3,10 +3,12 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <map>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
 #include "base/concat.h"
+#include "base/metric_recorder.h"
 #include "directory/announcer.h"
 #include "directory/directory_follower.h"
 #include "directory/node_directory.h"
@@ -79,10 +81,23 @@
   std::map<ipv4_address, node_directory> members = {
       {kMember, node_directory(1, kStart)}};
   inner::configuration_record in_force = Configuration(1, 2);
-  directory_follower follower{{kMember, kOtherMember}, 4};
+  metric_recorder measured{process_role::kBalancer};
+  directory_follower follower{{kMember, kOtherMember}, 4, &measured};
   std::vector<known_upstream> known;
 };
 
+// A choked link shows: answers come, but too late.
+BOOST_FIXTURE_TEST_CASE(AnswersThatComeLateAreCounted, fixture) {
+  const std::vector<due_poll> asked = follower.Due(now);
+  now += kFirstPollTimeout;
+  follower.Due(now);
+  for (const due_poll& due : asked) {
+    follower.OnPage(due.to, members.at(kMember).OnPoll(due.poll, {}, now), now);
+  }
+  BOOST_TEST(ToJson(measured.registry().Values())["counters"]
+                   ["control_answers_late"] == asked.size());
+}
+
 BOOST_FIXTURE_TEST_CASE(ABalancerGetsAllRoutesAndUpstreams, fixture) {
   in_force = Configuration(9, 350);
   for (uint32_t agent = 1; agent <= 60; ++agent) {
--- a/src/flows/flow_balancer.cc
+++ b/src/flows/flow_balancer.cc
@@ -200,6 +200,9 @@
   recorder_->Add(metric::kFlowsSearched);
   search.agent = agent;
   search.asked_at = now;
+  search.began_at = std::min(search.began_at, now);
+  search.bytes_sent += bytes.size();
+  recorder_->Add(metric::kSearchBytes, bytes.size());
   search.goes_on = false;
   // One that was silent before is asked once for each packet.
   if (upstreams_.IsReachable(agent, now) &&
@@ -239,13 +242,18 @@
 // one that is silent would not have answered, and the search stood still.
 void flow_balancer::EndSearch(const flow_id& flow, const flow_packet& packet,
                               absl::Span<const uint8_t> bytes, absl::Time now) {
-  const size_t steps = searches_[flow].denied.size();
+  const pending_search ended = std::move(searches_[flow]);
   searches_.erase(flow);
+  const size_t steps = ended.denied.size();
+  recorder_->Record(metric::kFlowSearchTime, now - ended.began_at);
   recorder_->Add(metric::kFlowsNotFound);
   const bool is_nowhere = settled_ && steps > 0 && steps < kSearchedAgents;
   log_line(log_level::kInfo, "flow_not_found")
       .With("flow", ToString(flow))
       .With("steps", steps)
+      .With("upstreams", upstreams_.size())
+      .With("bytes_sent", ended.bytes_sent)
+      .With("elapsed_ms", absl::ToInt64Milliseconds(now - ended.began_at))
       .With("settled", settled_)
       .With("reset", is_nowhere && !packet.resetting);
   if (!settled_) {
@@ -307,7 +315,18 @@
       {notice.caller_ip(), static_cast<uint16_t>(notice.caller_port())},
       {notice.host_ip(), static_cast<uint16_t>(notice.host_port())}};
   upstreams_.OnLoad(agent, notice.load());
-  searches_.erase(flow);
+  const auto search = searches_.find(flow);
+  if (search != searches_.end()) {
+    recorder_->Record(metric::kFlowSearchTime, now - search->second.began_at);
+    log_line(log_level::kInfo, "flow_search_ended")
+        .With("flow", ToString(flow))
+        .With("agent", ToString(ToEndpoint(agent)))
+        .With("steps", search->second.denied.size())
+        .With("bytes_sent", search->second.bytes_sent)
+        .With("elapsed_ms",
+              absl::ToInt64Milliseconds(now - search->second.began_at));
+    searches_.erase(search);
+  }
   const auto found = flows_.find(flow);
   // Of two upstreams that have answered an opening, the first one stays: the
   // caller mostly takes that one, and a packet for the other comes back.
--- a/src/flows/flow_balancer.h
+++ b/src/flows/flow_balancer.h
@@ -110,6 +110,9 @@
     /// The last one, and when.
     ipv4_address agent;
     absl::Time asked_at;
+    absl::Time began_at = absl::InfiniteFuture();
+    /// Bytes of packets that were sent to agents for it.
+    size_t bytes_sent = 0;
     std::vector<ipv4_address> denied;
     /// Goes on by itself where the agent is silent, with this packet; else it
     /// waits for the caller's next one.
