--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -1,8 +1,9 @@
-# cardamomroute_package(NAME [ONE_TEST] [DEPENDS target...])
+# cardamomroute_package(NAME [ONE_TEST [SEPARATE x_test.cc...]]
+#                       [DEPENDS target...])
 #
 # One folder of src/ as a static library, and each x_test.cc beside it as a
 # test program of its own; with ONE_TEST all of them as one program, NAME/tests,
-# which is built sooner. Tests of one folder may share helpers named
+# which is built sooner, but for those named as SEPARATE. Tests of one folder may share helpers named
 # *_test_support.cc, which are linked into each of its test programs.
 
 # Fixed, so that a run of the tests always gives the same verdict.
@@ -39,7 +40,7 @@
 endfunction()
 
 function(cardamomroute_package name)
-  cmake_parse_arguments(arg "ONE_TEST" "" "DEPENDS" ${ARGN})
+  cmake_parse_arguments(arg "ONE_TEST" "" "DEPENDS;SEPARATE" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS *.cc)
   file(GLOB tests CONFIGURE_DEPENDS *_test.cc)
   file(GLOB supports CONFIGURE_DEPENDS *_test_support.cc)
@@ -71,11 +72,13 @@
     target_link_libraries(${support} PUBLIC ${name} rapidcheck)
   endif()
   if(arg_ONE_TEST AND tests)
+    list(TRANSFORM arg_SEPARATE PREPEND ${CMAKE_CURRENT_SOURCE_DIR}/)
+    list(REMOVE_ITEM tests ${arg_SEPARATE} "")
     list(GET tests 0 first_test)
     set_source_files_properties(${first_test} PROPERTIES
       COMPILE_DEFINITIONS BOOST_TEST_MODULE=${name})
     cardamomroute_test(${name} tests "${tests}" "${support}")
-    return()
+    set(tests ${arg_SEPARATE})
   endif()
   foreach(test_source ${tests})
     get_filename_component(test_name ${test_source} NAME_WE)
--- a/src/directory/directory_follower.cc
+++ b/src/directory/directory_follower.cc
@@ -9,11 +9,8 @@
 namespace cardamomroute {
 
 directory_follower::directory_follower(std::vector<ipv4_address> seeds,
-                                       uint64_t seed,
-                                       metric_recorder* recorder)
-    : recorder_(recorder),
-      contacts_(std::move(seeds)),
-      next_poll_(seed | 1) {}
+                                       uint64_t seed, metric_recorder* recorder)
+    : recorder_(recorder), contacts_(std::move(seeds)), next_poll_(seed | 1) {}
 
 // Members that are not contacted any more have no say.
 void directory_follower::NoteMembers(absl::Time now) {
--- a/src/flows/flow_world_test_support.h
+++ b/src/flows/flow_world_test_support.h
@@ -27,6 +27,11 @@
   struct shape {
     size_t balancers = 3;
     size_t agents = 4;
+    /// Agents, the last ones, whose upstreams are of a second service.
+    size_t second_service = 1;
+    /// Share of the flows that the route gives to the second service, in
+    /// percent.
+    unsigned second_share = 0;
     /// Share of messages that are lost, and that come late, in percent.
     unsigned loss = 0;
     unsigned late = 0;
@@ -38,6 +43,9 @@
     int opening_at_wrong_service = 0;
     int opening_while_draining = 0;
     int bytes_changed = 0;
+    /// Flows of which kStrayPackets reached other upstreams in kStrayTime or
+    /// longer, and none their own.
+    int living_flow_astray = 0;
   };
 
   flow_world(const shape& wanted, uint64_t seed);
@@ -83,6 +91,9 @@
     int answered = 0;
     uint32_t upstream_sequence = 0;
     size_t upstream = 0;
+    /// Packets that reached other upstreams since the last one at its own.
+    int strays = 0;
+    absl::Time first_stray;
   };
   struct half_open {
     uint32_t sequence = 0;
@@ -102,6 +113,7 @@
                const inner::flow_datagram& datagram);
   void AtUpstream(size_t agent, const std::vector<uint8_t>& bytes,
                   uint32_t mark);
+  void NoteStray(const std::string& flow);
   void AtCaller(const flow_packet& packet);
   void OnReset(const flow_id& flow);
   void Tell();
