Answers of control that come late count

What callers saw: after an all-stop on a large site balancers lost sight of all control members for seconds, while all of them ran.

Cause: the answer to a poll was thrown away once the next poll was sent, after 300 ms, or 50 ms in the beginning. On a link on which answers take longer a balancer never gets ready, and loses all members after 2 s. The time-out was sized for links of 1 Gbit/s.

Now the answer to any poll since the last one taken counts: all of them name the same state of the member, so that the page fits. Answers to polls before that are still ignored.

Evidence: directory/tests, AnswersThatComeLateCount (answers take 1 s) fails without the change: not complete, no routes, not settled.

--- a/src/directory/directory_follower.cc
+++ b/src/directory/directory_follower.cc
@@ -51,7 +51,10 @@
       continue;
     }
     asked.poll = next_poll_ += 2;
-    asked.asked_at = now;
+    if (asked.first_poll == 0) {
+      asked.first_poll = asked.poll;
+      asked.asked_at = now;
+    }
     asked.due = now + timeout;
     due_poll& sent = due.emplace_back();
     sent.to = address;
@@ -73,13 +76,18 @@
     return;
   }
   member& teller = found->second;
+  // Polls that were repeated meanwhile asked for the same, so that a late
+  // answer is as good.
+  if (teller.first_poll == 0 || page.poll() < teller.first_poll ||
+      page.poll() > teller.poll) {
+    return;
+  }
   if (page.poll() != teller.poll) {
     ++teller.late_answers;
     recorder_->Add(metric::kControlAnswersLate);
-    return;
   }
   recorder_->Record(metric::kControlAnswerTime, now - teller.asked_at);
-  teller.late_answers = 0;
+  teller.first_poll = 0;
   teller.poll = 0;
   teller.heard_at = now;
   if (!teller.answers) {
--- a/src/directory/directory_follower.h
+++ b/src/directory/directory_follower.h
@@ -98,13 +98,16 @@
   struct member {
     uint64_t run = 0;
     uint64_t version = 0;
-    /// Of the poll under way; 0 where none is.
+    /// Of the last poll, and of the first one since an answer was taken; 0
+    /// where none is under way. All of them ask for the same.
     uint64_t poll = 0;
+    uint64_t first_poll = 0;
+    /// When `first_poll` was sent.
     absl::Time asked_at = absl::InfinitePast();
     absl::Time due = absl::InfinitePast();
     absl::Time heard_at = absl::InfinitePast();
     bool answers = false;
-    /// Answers that came after another poll was sent, since the last in time.
+    /// Answers that came after another poll was sent.
     uint32_t late_answers = 0;
     /// Of its process at its last answer.
     absl::Duration age;
--- a/src/directory/directory_test.cc
+++ b/src/directory/directory_test.cc
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <deque>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/concat.h"
@@ -86,7 +88,7 @@
   std::vector<known_upstream> known;
 };
 
-// A choked link shows: answers come, but too late.
+// A choked link shows in the metrics.
 BOOST_FIXTURE_TEST_CASE(AnswersThatComeLateAreCounted, fixture) {
   const std::vector<due_poll> asked = follower.Due(now);
   now += kFirstPollTimeout;
@@ -100,6 +102,32 @@
       asked.size());
 }
 
+// Issue 21, pattern: a choked link, on which answers take longer than a poll is
+// awaited, made control seem lost.
+BOOST_FIXTURE_TEST_CASE(AnswersThatComeLateCount, fixture) {
+  constexpr absl::Duration kDelay = absl::Seconds(1);
+  std::deque<std::pair<absl::Time, inner::directory_page>> answers;
+  in_force = Configuration(9, 20);
+  Announce(kMember, Announced(1, 1, 1, upstream_state::kServing));
+  const absl::Time end = now + absl::Seconds(10);
+  while (now < end) {
+    for (const due_poll& due : follower.Due(now)) {
+      if (due.to == kMember) {
+        answers.emplace_back(
+            now + kDelay, members.at(kMember).OnPoll(due.poll, in_force, now));
+      }
+    }
+    while (!answers.empty() && now >= answers.front().first) {
+      follower.OnPage(kMember, answers.front().second, now);
+      answers.pop_front();
+    }
+    now += absl::Milliseconds(10);
+  }
+  BOOST_TEST(follower.IsComplete());
+  BOOST_TEST(follower.routes_version() == 9U);
+  BOOST_TEST(follower.IsSettled());
+}
+
 BOOST_FIXTURE_TEST_CASE(ABalancerGetsAllRoutesAndUpstreams, fixture) {
   in_force = Configuration(9, 350);
   for (uint32_t agent = 1; agent <= 60; ++agent) {
