--- a/src/base/metric_table.cc
+++ b/src/base/metric_table.cc
@@ -37,6 +37,7 @@
     Counter(kBalancer, "packets_returned"),
     Counter(kBalancer, "flows_searched"),
     Counter(kBalancer, "search_bytes"),
+    Counter(kBalancer, "search_tries"),
     Counter(kBalancer, "flows_not_found"),
     Counter(kBalancer, "flows_reset"),
     Counter(kBalancer, "packets_held"),
--- a/src/base/metric_table.h
+++ b/src/base/metric_table.h
@@ -31,6 +31,7 @@
   kPacketsReturned,
   kFlowsSearched,
   kSearchBytes,
+  kSearchTries,
   kFlowsNotFound,
   kFlowsReset,
   kPacketsHeld,
--- a/src/flows/flow_agent.cc
+++ b/src/flows/flow_agent.cc
@@ -40,29 +40,24 @@
   balancers_[balancer] = now;
   recorder_->Add(metric::kAgentPacketsIn);
   const flow_id flow = FlowFromCaller(packet);
-  if (carried.service() != service_) {
-    HandBack(balancer, carried.attempt(), AsBytes(carried.packet()),
-             inner::RETURN_OTHER_SERVICE);
-    return;
-  }
   if (packet.opening) {
-    OnOpening(balancer, carried, flow, now);
+    if (carried.service() == service_) {
+      OnOpening(balancer, carried, flow, now);
+    } else {
+      HandBack(balancer, carried.attempt(), AsBytes(carried.packet()),
+               inner::RETURN_OTHER_SERVICE);
+    }
     return;
   }
   const auto found = flows_.find(flow);
   if (found == flows_.end()) {
-    if (knows_all_flows_) {
-      HandBack(balancer, carried.attempt(), AsBytes(carried.packet()),
-               inner::RETURN_NOT_HELD);
-    } else {
-      Deliver(balancer, carried.attempt(), AsBytes(carried.packet()));
-    }
+    DeliverUnknown(balancer, carried, flow, now);
     return;
   }
   held_flow& held = found->second;
   if (!IsOfThisFlow(held, packet)) {
-    HandBack(balancer, carried.attempt(), AsBytes(carried.packet()),
-             inner::RETURN_NOT_HELD);
+    Deny(balancer, carried.attempt(), flow, AsBytes(carried.packet()),
+         inner::RETURN_NOT_HELD);
     return;
   }
   if (state_ == upstream_state::kEnded && held.confirmed) {
@@ -84,6 +79,52 @@
   AdmitWaiting(now);
 }
 
+// The upstream may hold the flow since before this process started; then it
+// says so by an answer, else by handing the packet back.
+void flow_agent::DeliverUnknown(const ipv4_address& balancer,
+                                const inner::carried_packet& carried,
+                                const flow_id& flow, absl::Time now) {
+  const absl::Span<const uint8_t> bytes = AsBytes(carried.packet());
+  if (carried.service() != service_) {
+    Deny(balancer, carried.attempt(), flow, bytes, inner::RETURN_OTHER_SERVICE);
+    return;
+  }
+  if (ClaimOf(flow) == inner::HOLDER_CLAIM_DENIES) {
+    Deny(balancer, carried.attempt(), flow, bytes, inner::RETURN_NOT_HELD);
+    return;
+  }
+  if (unknown_flows_.size() < kUnknownFlows || unknown_flows_.contains(flow)) {
+    unknown_flows_[flow] = {balancer, false, now + kUnknownFlowLife};
+  }
+  Deliver(balancer, carried.attempt(), bytes);
+}
+
+inner::holder_claim flow_agent::ClaimOf(const flow_id& flow) const {
+  const auto held = flows_.find(flow);
+  if (held != flows_.end()) {
+    const bool is_certain = held->second.confirmed && !held->second.over;
+    return is_certain ? inner::HOLDER_CLAIM_HOLDS
+                      : inner::HOLDER_CLAIM_UNCERTAIN;
+  }
+  const auto unknown = unknown_flows_.find(flow);
+  const bool is_denied =
+      unknown != unknown_flows_.end() && unknown->second.is_denied;
+  return knows_all_flows_ || is_denied ? inner::HOLDER_CLAIM_DENIES
+                                       : inner::HOLDER_CLAIM_UNCERTAIN;
+}
+
+void flow_agent::OnHolderQuery(const ipv4_address& balancer,
+                               const inner::holder_query& query) {
+  inner::holder_answer* answer = datagram_.mutable_answer();
+  *answer->mutable_flows() = query.flows();
+  answer->clear_claims();
+  for (const flow_id& flow : FlowsOf(query.flows())) {
+    answer->add_claims(ClaimOf(flow));
+  }
+  FillLoad(answer->mutable_load());
+  outlet_->SendToBalancer(balancer, datagram_);
+}
+
 void flow_agent::OnOpening(const ipv4_address& balancer,
                            const inner::carried_packet& carried,
                            const flow_id& flow, absl::Time now) {
@@ -131,6 +172,7 @@
     Forget(former);
   }
   held_flow& held = FindOrAdd(flow);
+  unknown_flows_.erase(flow);
   held.balancer = balancer;
   held.forget_at = now + kHeldFlowLife;
   if (held.opened_at == absl::InfinitePast()) {
@@ -196,12 +238,18 @@
                                   absl::Time now) {
   recorder_->Add(metric::kUpstreamPackets);
   if (packet.returned) {
-    OnHandedBack(packet, bytes);
+    OnHandedBack(packet, bytes, now);
     return;
   }
   const flow_id flow = FlowFromUpstream(packet);
   // One that is not known is held since before this process started.
   held_flow& held = FindOrAdd(flow);
+  const auto unknown = unknown_flows_.find(flow);
+  if (unknown != unknown_flows_.end()) {
+    held.balancer = unknown->second.balancer;
+    unknown_flows_.erase(unknown);
+    Notify(held.balancer, flow);
+  }
   if (packet.opening) {
     const bool is_first = !held.answered;
     held.answered = true;
@@ -245,7 +293,7 @@
 
 // The upstream does not hold the flow, or takes no new one.
 void flow_agent::OnHandedBack(const flow_packet& packet,
-                              absl::Span<const uint8_t> bytes) {
+                              absl::Span<const uint8_t> bytes, absl::Time now) {
   recorder_->Add(metric::kUpstreamHandedBack);
   const marked_packet sent = marked_.at(packet.mark % kMarkedPackets);
   if (sent.mark != packet.mark) {
@@ -263,9 +311,32 @@
   if (found != flows_.end() && !found->second.confirmed) {
     Forget(found);
   }
-  HandBack(
-      sent.balancer, sent.attempt, bytes,
-      packet.opening ? inner::RETURN_NO_NEW_FLOWS : inner::RETURN_NOT_HELD);
+  if (packet.opening) {
+    HandBack(sent.balancer, sent.attempt, bytes, inner::RETURN_NO_NEW_FLOWS);
+    return;
+  }
+  if (const auto unknown = unknown_flows_.find(flow);
+      unknown != unknown_flows_.end()) {
+    unknown->second.is_denied = true;
+    unknown->second.forget_at = now + kUnknownFlowLife;
+  }
+  Deny(sent.balancer, sent.attempt, flow, bytes, inner::RETURN_NOT_HELD);
+}
+
+// A search keeps its packets, so that they need not go back.
+void flow_agent::Deny(const ipv4_address& balancer, uint32_t attempt,
+                      const flow_id& flow, absl::Span<const uint8_t> bytes,
+                      inner::return_reason reason) {
+  if (attempt == 0) {
+    HandBack(balancer, attempt, bytes, reason);
+    return;
+  }
+  inner::holder_answer* answer = datagram_.mutable_answer();
+  answer->Clear();
+  AddFlow(flow, answer->mutable_flows());
+  answer->add_claims(inner::HOLDER_CLAIM_DENIES);
+  FillLoad(answer->mutable_load());
+  outlet_->SendToBalancer(balancer, datagram_);
 }
 
 void flow_agent::HandBack(const ipv4_address& balancer, uint32_t attempt,
@@ -365,6 +436,12 @@
         Forget(present);
       }
     }
+    for (auto flow = unknown_flows_.begin(); flow != unknown_flows_.end();) {
+      const auto present = flow++;
+      if (now >= present->second.forget_at) {
+        unknown_flows_.erase(present);
+      }
+    }
   }
   ForgetBegun(true, now);
   ForgetBegun(false, now);
--- a/src/flows/flow_agent.h
+++ b/src/flows/flow_agent.h
@@ -53,6 +53,11 @@
 /// Balancers that are told of the load: those heard from for so long.
 inline constexpr absl::Duration kBalancerLife = absl::Seconds(5);
 
+/// Flows that the agent does not know and was asked for, which it remembers at
+/// most, and how long.
+inline constexpr size_t kUnknownFlows = 4096;
+inline constexpr absl::Duration kUnknownFlowLife = absl::Seconds(60);
+
 /// Packets at the upstream that it may still hand back.
 inline constexpr size_t kMarkedPackets = 1024;
 
@@ -74,6 +79,10 @@
                  const inner::carried_packet& carried,
                  const flow_packet& packet, absl::Time now);
 
+  /// A balancer looks for the holders of flows.
+  void OnHolderQuery(const ipv4_address& balancer,
+                     const inner::holder_query& query);
+
   /// A packet from the upstream; `bytes` is all of it. One that was handed back
   /// is without its mark again, as the caller sent it.
   void OnUpstreamPacket(const flow_packet& packet,
@@ -111,6 +120,14 @@
     bool over = false;
     absl::Time forget_at;
   };
+  /// A flow that is not among `flows_`.
+  struct unknown_flow {
+    /// That sent its last packet.
+    ipv4_address balancer;
+    /// The upstream has handed back a packet of it.
+    bool is_denied = false;
+    absl::Time forget_at;
+  };
   /// A packet at the upstream.
   struct marked_packet {
     uint32_t mark = 0;
@@ -124,6 +141,10 @@
                  const inner::carried_packet& carried, const flow_id& flow,
                  absl::Time now);
   bool IsOfThisFlow(const held_flow& held, const flow_packet& packet) const;
+  inner::holder_claim ClaimOf(const flow_id& flow) const;
+  void DeliverUnknown(const ipv4_address& balancer,
+                      const inner::carried_packet& carried, const flow_id& flow,
+                      absl::Time now);
   void DeliverOpening(const ipv4_address& balancer, uint32_t attempt,
                       const flow_id& flow, absl::Span<const uint8_t> bytes,
                       absl::Time now);
@@ -134,9 +155,12 @@
   void HandBackWaiting(const std::vector<waiting_opening>& openings,
                        const char* reason);
   void EndLostFlow(flow_map::iterator flow, const flow_packet& packet);
-  void OnHandedBack(const flow_packet& packet, absl::Span<const uint8_t> bytes);
+  void OnHandedBack(const flow_packet& packet, absl::Span<const uint8_t> bytes,
+                    absl::Time now);
   void HandBack(const ipv4_address& balancer, uint32_t attempt,
                 absl::Span<const uint8_t> bytes, inner::return_reason reason);
+  void Deny(const ipv4_address& balancer, uint32_t attempt, const flow_id& flow,
+            absl::Span<const uint8_t> bytes, inner::return_reason reason);
   void Notify(const ipv4_address& balancer, const flow_id& flow,
               bool waits = false);
   void FillLoad(inner::upstream_load* load) const;
@@ -159,6 +183,7 @@
   uint32_t slots_ = 1;
   bool knows_all_flows_ = false;
   flow_map flows_;
+  absl::flat_hash_map<flow_id, unknown_flow> unknown_flows_;
   /// Of `flows_`, those that are not over.
   uint32_t open_flows_ = 0;
   uint32_t busy_flows_ = 0;
--- a/src/flows/flow_agent_test.cc
+++ b/src/flows/flow_agent_test.cc
@@ -86,6 +86,19 @@
     Carry(FromCaller(false, kFirstSequence + 1));
     agent.OnUpstreamPacket(FromUpstream(false), {}, kStart);
   }
+  inner::holder_claim Claim() {
+    inner::holder_query query;
+    AddFlow({kCaller, kHost}, query.mutable_flows());
+    agent.OnHolderQuery(kBalancer, query);
+    return out.to_balancer.back().answer().claims(0);
+  }
+  /// The packet of a search.
+  void Try(const flow_packet& packet) {
+    inner::carried_packet carried;
+    carried.set_service(kService);
+    carried.set_attempt(1);
+    agent.OnCarried(kBalancer, carried, packet, kStart);
+  }
   inner::return_reason LastReason() const {
     return out.to_balancer.back().returned().reason();
   }
@@ -185,6 +198,59 @@
   BOOST_TEST(out.to_balancer.back().has_notice());
 }
 
+BOOST_FIXTURE_TEST_CASE(SaysWhichFlowsItsUpstreamHolds, fixture) {
+  BOOST_TEST(Claim() == inner::HOLDER_CLAIM_DENIES);
+  OpenFlow();
+  BOOST_TEST(Claim() == inner::HOLDER_CLAIM_HOLDS);
+  BOOST_TEST(out.to_balancer.back().answer().load().open_flows() == 1U);
+}
+
+// Which of two answers to an opening the caller took only a packet can tell.
+BOOST_FIXTURE_TEST_CASE(IsUncertainOfAFlowThatIsNotConfirmed, fixture) {
+  Carry(FromCaller(true, 0));
+  agent.OnUpstreamPacket(FromUpstream(true), {}, kStart);
+  BOOST_TEST(Claim() == inner::HOLDER_CLAIM_UNCERTAIN);
+  Try(FromCaller(false, kFirstSequence + 2));
+  BOOST_TEST(out.marks.size() == 1U);
+  BOOST_TEST(out.to_balancer.back().answer().claims(0) ==
+             inner::HOLDER_CLAIM_DENIES);
+}
+
+// Issue 21: after a restart each packet of a foreign flow went to the upstream.
+BOOST_FIXTURE_TEST_CASE(AsksItsUpstreamOnceForAFlowOfBeforeItsStart, fixture) {
+  agent.OnUpstream(upstream_state::kServing, 2, false);
+  BOOST_TEST(Claim() == inner::HOLDER_CLAIM_UNCERTAIN);
+  Try(FromCaller(false, 1));
+  BOOST_TEST(out.marks.size() == 1U);
+  Return(FromCaller(false, 1));
+  BOOST_TEST(out.to_balancer.back().answer().claims(0) ==
+             inner::HOLDER_CLAIM_DENIES);
+  BOOST_TEST(Claim() == inner::HOLDER_CLAIM_DENIES);
+  Carry(FromCaller(false, 1));
+  BOOST_TEST(out.marks.size() == 1U);
+  BOOST_TEST(LastReason() == inner::RETURN_NOT_HELD);
+  // Unless a flow of that name is opened later.
+  OpenFlow();
+  BOOST_TEST(Claim() == inner::HOLDER_CLAIM_HOLDS);
+}
+
+// The balancer learns at once that its search is over.
+BOOST_FIXTURE_TEST_CASE(TellsTheBalancerThatTriedItsUpstream, fixture) {
+  agent.OnUpstream(upstream_state::kServing, 2, false);
+  Try(FromCaller(false, 1));
+  agent.OnUpstreamPacket(FromUpstream(false), {}, kStart);
+  BOOST_REQUIRE(out.to_balancer.size() == 1U);
+  BOOST_TEST(out.to_balancer.back().has_notice());
+}
+
+// The balancer may have lost sight of the agent, and so of its service.
+BOOST_FIXTURE_TEST_CASE(TakesPacketsOfAHeldFlowWhateverTheirService, fixture) {
+  OpenFlow();
+  const size_t delivered = out.marks.size();
+  Carry(FromCaller(false, kFirstSequence + 1), 0);
+  BOOST_TEST(out.marks.size() == delivered + 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(ResetsAFlowThatItsUpstreamHasLost, fixture) {
   OpenFlow();
   Carry(FromCaller(false, 77));
--- a/src/flows/flow_balancer.cc
+++ b/src/flows/flow_balancer.cc
@@ -17,7 +17,7 @@
 }  // namespace
 
 flow_balancer::flow_balancer(balancer_outlet* outlet, metric_recorder* recorder)
-    : outlet_(outlet), recorder_(recorder) {}
+    : outlet_(outlet), recorder_(recorder), searches_(this, recorder) {}
 
 void flow_balancer::OnRoutes(std::shared_ptr<const route_set> routes) {
   for (const ipv4_address& host : routes_->HostsMissingIn(*routes)) {
@@ -35,17 +35,21 @@
       .With("routes", routes->size());
   takes_up_held_ = takes_up_held_ || routes_->version() == 0;
   routes_ = std::move(routes);
+  searches_.OnListChanged(settled_);
   recorder_->Set(metric::kRoutesVersion, routes_->version());
 }
 
 void flow_balancer::OnUpstreams(const std::vector<known_upstream>& known) {
   upstreams_.OnUpstreams(known);
+  searches_.OnListChanged(settled_);
   recorder_->Set(metric::kKnownUpstreams, known.size());
 }
 
 void flow_balancer::OnSettled(bool settled) {
-  takes_up_held_ = takes_up_held_ || (settled && !settled_);
-  settled_ = settled;
+  if (settled != settled_) {
+    settled_ = settled;
+    searches_.OnListChanged(settled);
+  }
   recorder_->Set(metric::kUpstreamsSettled, settled ? 1 : 0);
 }
 
@@ -60,6 +64,7 @@
   }
   if (removed_hosts_.contains(flow.host)) {
     flows_.erase(flow);
+    searches_.Forget(flow);
     if (!packet.resetting) {
       Reset(flow, packet.acknowledged);
     }
@@ -67,12 +72,17 @@
   }
   const auto cached = flows_.find(flow);
   if (cached == flows_.end()) {
-    BeginSearch(flow, packet, bytes, now);
+    if (routes_->Find(flow.host) != nullptr) {
+      searches_.OnPacket(flow, packet, bytes, now);
+    } else if (routes_->version() == 0) {
+      Hold(flow, packet, bytes, now);
+    }
     return;
   }
   const bool ends = packet.finishing || packet.resetting;
   cached->second.forget_at = now + (ends ? kEndedFlowLife : kCachedFlowLife);
   Send(cached->second.holder, 0, bytes);
+  searches_.Confirm(flow, cached->second.holder, now);
 }
 
 void flow_balancer::OnOpening(const flow_id& flow, const flow_packet& packet,
@@ -103,10 +113,8 @@
     TryNext(flow, *route, &found->second, bytes, now);
     return;
   }
-  if (flows_.size() >= kMaxCachedFlows) {
-    flows_.erase(flows_.begin());
-  }
-  cached_flow& cached = flows_[flow];
+  searches_.Forget(flow);
+  cached_flow& cached = Remember(flow);
   cached = cached_flow();
   cached.opened_at = now;
   TryNext(flow, *route, &cached, bytes, now);
@@ -164,103 +172,59 @@
   carried->clear_patience_ms();
 }
 
-void flow_balancer::BeginSearch(const flow_id& flow, const flow_packet& packet,
-                                absl::Span<const uint8_t> bytes,
-                                absl::Time now) {
-  const auto before = searches_.find(flow);
-  if (before != searches_.end() &&
-      now >= before->second.asked_at + kSearchPatience) {
-    upstreams_.OnUnanswered(before->second.agent, now);
-  }
-  GoOnSearching(flow, packet, bytes, now);
-}
-
-void flow_balancer::GoOnSearching(const flow_id& flow,
-                                  const flow_packet& packet,
-                                  absl::Span<const uint8_t> bytes,
-                                  absl::Time now) {
+std::vector<search_candidate> flow_balancer::CandidatesFor(const flow_id& flow,
+                                                           absl::Time now) {
   const flow_route* route = routes_->Find(flow.host);
   if (route == nullptr) {
-    if (routes_->version() == 0) {
-      Hold(flow, packet, bytes, now);
-    }
-    return;
-  }
-  pending_search& search = searches_[flow];
-  const ipv4_address agent =
-      upstreams_.NextToAsk(HashOf(flow), *route, search.denied, now);
-  if (agent == ipv4_address() || search.denied.size() >= kSearchedAgents) {
-    EndSearch(flow, packet, bytes, now);
-    return;
-  }
-  log_line(log_level::kDebug, "flow_searched")
-      .With("flow", ToString(flow))
-      .With("agent", ToString(ToEndpoint(agent)))
-      .With("denied", search.denied.size());
-  recorder_->Add(metric::kFlowsSearched);
-  search.agent = agent;
-  search.asked_at = now;
-  search.began_at = std::min(search.began_at, now);
-  search.bytes_sent += bytes.size();
-  recorder_->Add(metric::kSearchBytes, bytes.size());
-  search.goes_on = false;
-  // One that was silent before is asked once for each packet.
-  if (upstreams_.IsReachable(agent, now) &&
-      searches_.size() <= kMaxHeldPackets) {
-    search.goes_on = true;
-    search.head = packet;
-    search.bytes.assign(bytes.begin(), bytes.end());
-    next_search_step_ = std::min(next_search_step_, now + kSearchPatience);
+    return {};
   }
-  Send(agent, static_cast<uint32_t>(search.denied.size()) + 1, bytes);
+  return upstreams_.SearchOrder(HashOf(flow), *route, now);
 }
 
-void flow_balancer::StepSilentSearches(absl::Time now) {
-  next_search_step_ = absl::InfiniteFuture();
-  std::vector<flow_id> silent;
-  for (const auto& [flow, search] : searches_) {
-    if (!search.goes_on) {
-      continue;
-    }
-    const absl::Time due = search.asked_at + kSearchPatience;
-    if (now >= due) {
-      silent.push_back(flow);
-    } else {
-      next_search_step_ = std::min(next_search_step_, due);
-    }
+void flow_balancer::Ask(const ipv4_address& agent,
+                        const inner::holder_query& query) {
+  inner::flow_datagram asked;
+  *asked.mutable_query() = query;
+  outlet_->SendToAgent(agent, asked);
+}
+
+void flow_balancer::TryAt(const ipv4_address& agent,
+                          const held_packet& packet) {
+  Send(agent, 1, packet.bytes);
+}
+
+void flow_balancer::OnUnanswered(const ipv4_address& agent, absl::Time now) {
+  upstreams_.OnUnanswered(agent, now);
+}
+
+void flow_balancer::OnHolder(const flow_id& flow, const ipv4_address& agent,
+                             bool is_certain,
+                             const std::vector<held_packet>& waiting,
+                             absl::Time now) {
+  cached_flow& cached = Remember(flow);
+  cached.holder = agent;
+  cached.held = is_certain;
+  cached.forget_at = now + kCachedFlowLife;
+  for (const held_packet& packet : waiting) {
+    Send(agent, 0, packet.bytes);
   }
-  for (const flow_id& flow : silent) {
-    pending_search& search = searches_[flow];
-    upstreams_.OnUnanswered(search.agent, now);
-    const flow_packet head = search.head;
-    const std::vector<uint8_t> bytes = std::move(search.bytes);
-    GoOnSearching(flow, head, bytes, now);
+}
+
+void flow_balancer::OnPresumptionDenied(const flow_id& flow) {
+  flows_.erase(flow);
+}
+
+void flow_balancer::OnNowhere(const flow_id& flow, const flow_packet& last) {
+  if (!last.resetting) {
+    Reset(flow, last.acknowledged);
   }
 }
 
-// Every agent that was asked has said that its upstream does not hold the flow;
-// one that is silent would not have answered, and the search stood still.
-void flow_balancer::EndSearch(const flow_id& flow, const flow_packet& packet,
-                              absl::Span<const uint8_t> bytes, absl::Time now) {
-  const pending_search ended = std::move(searches_[flow]);
-  searches_.erase(flow);
-  const size_t steps = ended.denied.size();
-  recorder_->Record(metric::kFlowSearchTime, now - ended.began_at);
-  recorder_->Add(metric::kFlowsNotFound);
-  const bool is_nowhere = settled_ && steps > 0 && steps < kSearchedAgents;
-  log_line(log_level::kInfo, "flow_not_found")
-      .With("flow", ToString(flow))
-      .With("steps", steps)
-      .With("upstreams", upstreams_.size())
-      .With("bytes_sent", ended.bytes_sent)
-      .With("elapsed_ms", absl::ToInt64Milliseconds(now - ended.began_at))
-      .With("settled", settled_)
-      .With("reset", is_nowhere && !packet.resetting);
-  if (!settled_) {
-    Hold(flow, packet, bytes, now);
-  } else if (is_nowhere && !packet.resetting) {
-    Reset(flow, packet.acknowledged);
+flow_balancer::cached_flow& flow_balancer::Remember(const flow_id& flow) {
+  if (flows_.size() >= kMaxCachedFlows && !flows_.contains(flow)) {
+    flows_.erase(flows_.begin());
   }
+  return flows_[flow];
 }
 
 void flow_balancer::Reset(const flow_id& flow, uint32_t sequence) {
@@ -302,11 +266,16 @@
     Send(cached->second.holder, 0, AsBytes(bytes));
     return;
   }
-  std::vector<ipv4_address>& denied = searches_[flow].denied;
-  if (std::find(denied.begin(), denied.end(), agent) == denied.end()) {
-    denied.push_back(agent);
+  if (routes_->Find(flow.host) != nullptr) {
+    searches_.OnHandedBack(agent, flow, packet, AsBytes(bytes), now);
   }
-  GoOnSearching(flow, packet, AsBytes(bytes), now);
+}
+
+void flow_balancer::OnHolderAnswer(const ipv4_address& agent,
+                                   const inner::holder_answer& answer,
+                                   absl::Time now) {
+  upstreams_.OnLoad(agent, answer.load());
+  searches_.OnAnswer(agent, answer, now);
 }
 
 void flow_balancer::OnNotice(const ipv4_address& agent,
@@ -315,37 +284,18 @@
       {notice.caller_ip(), static_cast<uint16_t>(notice.caller_port())},
       {notice.host_ip(), static_cast<uint16_t>(notice.host_port())}};
   upstreams_.OnLoad(agent, notice.load());
-  const auto search = searches_.find(flow);
-  if (search != searches_.end()) {
-    recorder_->Record(metric::kFlowSearchTime, now - search->second.began_at);
-    log_line(log_level::kInfo, "flow_search_ended")
-        .With("flow", ToString(flow))
-        .With("agent", ToString(ToEndpoint(agent)))
-        .With("steps", search->second.denied.size())
-        .With("bytes_sent", search->second.bytes_sent)
-        .With("elapsed_ms",
-              absl::ToInt64Milliseconds(now - search->second.began_at));
-    searches_.erase(search);
-  }
   const auto found = flows_.find(flow);
   // Of two upstreams that have answered an opening, the first one stays: the
   // caller mostly takes that one, and a packet for the other comes back.
   if (found != flows_.end() && found->second.held) {
     return;
   }
-  if (flows_.size() >= kMaxCachedFlows && found == flows_.end()) {
-    flows_.erase(flows_.begin());
-  }
-  if (found == flows_.end()) {
-    log_line(log_level::kInfo, "flow_found")
-        .With("flow", ToString(flow))
-        .With("agent", ToString(ToEndpoint(agent)));
-  }
-  cached_flow& cached = flows_[flow];
+  cached_flow& cached = Remember(flow);
   cached.holder = agent;
   cached.waits = notice.waits();
   cached.held = !notice.waits();
   cached.forget_at = now + kCachedFlowLife;
+  searches_.OnHolder(agent, flow, now);
 }
 
 void flow_balancer::OnLoad(const ipv4_address& agent,
@@ -395,19 +345,11 @@
   if (takes_up_held_) {
     TakeUpHeld(now);
   }
-  if (now >= next_search_step_) {
-    StepSilentSearches(now);
-  }
+  searches_.Tick(now);
   if (now < next_sweep_) {
     return;
   }
   next_sweep_ = now + kCacheSweepInterval;
-  for (auto search = searches_.begin(); search != searches_.end();) {
-    const auto present = search++;
-    if (now >= present->second.asked_at + kCachedFlowLife) {
-      searches_.erase(present);
-    }
-  }
   for (auto flow = flows_.begin(); flow != flows_.end();) {
     const auto present = flow++;
     if (now >= present->second.forget_at) {
--- a/src/flows/flow_balancer.h
+++ b/src/flows/flow_balancer.h
@@ -16,7 +16,10 @@
 #include "directory/known_upstream.h"
 #include "flows/flow_id.h"
 #include "flows/flow_packet.h"
+#include "flows/flow_searches.h"
+#include "flows/held_packet.h"
 #include "flows/route_set.h"
+#include "flows/search_outlet.h"
 #include "flows/upstream_table.h"
 #include "inner/flow_datagram.pb.h"
 
@@ -35,10 +38,6 @@
 /// The same after a caller has ended its side.
 inline constexpr absl::Duration kEndedFlowLife = absl::Seconds(3);
 
-/// An agent that was asked for a flow and has not answered for so long is
-/// passed over. Callers repeat a packet after 200 ms.
-inline constexpr absl::Duration kSearchPatience = absl::Milliseconds(100);
-
 /// How long an opening waits for routes and upstreams to be known. A caller
 /// sends the last copy of it after 0.6 s and gives up after 1.4 s.
 inline constexpr absl::Duration kHeldOpeningLife = absl::Milliseconds(800);
@@ -46,8 +45,7 @@
 /// The same for other packets. A caller repeats them within 1.6 s.
 inline constexpr absl::Duration kHeldPacketLife = absl::Milliseconds(1600);
 
-/// Packets that wait at most, one a flow; and searches at most that go on by
-/// themselves.
+/// Packets that wait for routes at most, one a flow.
 inline constexpr size_t kMaxHeldPackets = 512;
 
 /// Flows that are remembered at most; others are looked for.
@@ -56,7 +54,7 @@
 /// What a balancer does with the packets of opaque flows. It places new flows
 /// and remembers where; nothing of that matters if it is lost, as any agent
 /// says whether its upstream holds a flow.
-class flow_balancer {
+class flow_balancer : private search_outlet {
  public:
   /// `recorder` has the metrics of a balancer.
   flow_balancer(balancer_outlet* outlet, metric_recorder* recorder);
@@ -76,6 +74,10 @@
                   const inner::returned_packet& returned,
                   const flow_packet& packet, absl::Time now);
 
+  /// An agent says which flows its upstream holds.
+  void OnHolderAnswer(const ipv4_address& agent,
+                      const inner::holder_answer& answer, absl::Time now);
+
   /// An agent's upstream holds the flow.
   void OnNotice(const ipv4_address& agent, const inner::flow_notice& notice,
                 absl::Time now);
@@ -83,10 +85,11 @@
   void OnLoad(const ipv4_address& agent, const inner::upstream_load& load);
 
   /// Takes up packets that waited, where enough is known now, goes on with
-  /// searches whose agent is silent, and forgets flows that are over.
+  /// searches, and forgets flows that are over. Called after each round of
+  /// packets: queries of a round go together.
   void Tick(absl::Time now);
   absl::Time NextDeadline() const {
-    return std::min(next_sweep_, next_search_step_);
+    return std::min(next_sweep_, searches_.NextDeadline());
   }
 
   size_t cached_flows() const { return flows_.size(); }
@@ -105,28 +108,18 @@
     absl::Time forget_at;
   };
 
-  /// Agents that were asked whether they hold a flow.
-  struct pending_search {
-    /// The last one, and when.
-    ipv4_address agent;
-    absl::Time asked_at;
-    absl::Time began_at = absl::InfiniteFuture();
-    /// Bytes of packets that were sent to agents for it.
-    size_t bytes_sent = 0;
-    std::vector<ipv4_address> denied;
-    /// Goes on by itself where the agent is silent, with this packet; else it
-    /// waits for the caller's next one.
-    bool goes_on = false;
-    flow_packet head;
-    std::vector<uint8_t> bytes;
-  };
-
-  /// A packet that came before enough was known to say where it goes.
-  struct held_packet {
-    flow_packet head;
-    std::vector<uint8_t> bytes;
-    absl::Time came_at;
-  };
+  // search_outlet
+  std::vector<search_candidate> CandidatesFor(const flow_id& flow,
+                                              absl::Time now) override;
+  void Ask(const ipv4_address& agent,
+           const inner::holder_query& query) override;
+  void TryAt(const ipv4_address& agent, const held_packet& packet) override;
+  void OnUnanswered(const ipv4_address& agent, absl::Time now) override;
+  void OnHolder(const flow_id& flow, const ipv4_address& agent, bool is_certain,
+                const std::vector<held_packet>& waiting,
+                absl::Time now) override;
+  void OnPresumptionDenied(const flow_id& flow) override;
+  void OnNowhere(const flow_id& flow, const flow_packet& last) override;
 
   void Hold(const flow_id& flow, const flow_packet& packet,
             absl::Span<const uint8_t> bytes, absl::Time now);
@@ -136,13 +129,7 @@
   void TryNext(const flow_id& flow, const flow_route& route,
                cached_flow* cached, absl::Span<const uint8_t> bytes,
                absl::Time now);
-  void BeginSearch(const flow_id& flow, const flow_packet& packet,
-                   absl::Span<const uint8_t> bytes, absl::Time now);
-  void GoOnSearching(const flow_id& flow, const flow_packet& packet,
-                     absl::Span<const uint8_t> bytes, absl::Time now);
-  void StepSilentSearches(absl::Time now);
-  void EndSearch(const flow_id& flow, const flow_packet& packet,
-                 absl::Span<const uint8_t> bytes, absl::Time now);
+  cached_flow& Remember(const flow_id& flow);
   void Reset(const flow_id& flow, uint32_t sequence);
   void SendOpening(const flow_route& route, const cached_flow& cached,
                    absl::Span<const uint8_t> bytes, absl::Time now);
@@ -156,8 +143,7 @@
   absl::flat_hash_set<ipv4_address> removed_hosts_;
   upstream_table upstreams_;
   absl::flat_hash_map<flow_id, cached_flow> flows_;
-  /// Searches that are not over.
-  absl::flat_hash_map<flow_id, pending_search> searches_;
+  flow_searches searches_;
   /// Filled anew for each packet, so that it keeps its memory.
   inner::flow_datagram datagram_;
   bool settled_ = false;
@@ -165,7 +151,6 @@
   /// More is known than when the held packets came.
   bool takes_up_held_ = false;
   absl::Time next_sweep_ = absl::InfinitePast();
-  absl::Time next_search_step_ = absl::InfiniteFuture();
 };
 
 }  // namespace cardamomroute
--- a/src/flows/flow_balancer_test.cc
+++ b/src/flows/flow_balancer_test.cc
@@ -93,6 +93,40 @@
   }
   const ipv4_address& LastAgent() const { return out.sent.back().first; }
 
+  /// Ends a round of packets; the agents that were asked for flows in it.
+  std::vector<ipv4_address> Asked(absl::Time now = kStart) {
+    balancer.Tick(now);
+    std::vector<ipv4_address> asked;
+    for (const auto& [agent, datagram] : out.sent) {
+      if (datagram.has_query()) {
+        asked.push_back(agent);
+      }
+    }
+    out.sent.clear();
+    std::sort(asked.begin(), asked.end());
+    return asked;
+  }
+  void Answer(const ipv4_address& agent, inner::holder_claim claim,
+              absl::Time now = kStart) {
+    inner::holder_answer answer;
+    AddFlow({kCaller, kHost}, answer.mutable_flows());
+    answer.add_claims(claim);
+    balancer.OnHolderAnswer(agent, answer, now);
+  }
+  void Deny(const ipv4_address& agent, absl::Time now = kStart) {
+    Answer(agent, inner::HOLDER_CLAIM_DENIES, now);
+  }
+  /// The agents that a packet of a flow went to in this round.
+  std::vector<ipv4_address> GivenPackets() const {
+    std::vector<ipv4_address> given;
+    for (const auto& [agent, datagram] : out.sent) {
+      if (datagram.has_carried()) {
+        given.push_back(agent);
+      }
+    }
+    return given;
+  }
+
   uint64_t Measured(const char* name) const {
     return ToJson(measured.registry().Values())["counters"][name];
   }
@@ -182,9 +216,9 @@
   BOOST_TEST(Measured("openings_refused_no_route") == 1U);
   BOOST_TEST(Measured("flows_reset") == out.resets.size());
   Take(Data());
-  HandBack(LastAgent(), Data());
-  HandBack(LastAgent(), Data());
-  HandBack(LastAgent(), Data());
+  for (const ipv4_address& agent : Asked()) {
+    Deny(agent);
+  }
   BOOST_TEST(Measured("flows_searched") == 3U);
   BOOST_TEST(Measured("flows_not_found") == 1U);
 }
@@ -219,22 +253,19 @@
 
 // The same, and the flow's upstream has ended: the caller waits no longer than
 // it takes to be sure of that.
-BOOST_AUTO_TEST_CASE(ASearchThatEndedTooEarlyIsMadeAgain) {
-  recorder out;
-  metric_recorder measured(process_role::kBalancer);
-  flow_balancer balancer(&out, &measured);
-  balancer.OnRoutes(Routes(1, true));
+BOOST_FIXTURE_TEST_CASE(ASearchAsksUpstreamsThatAreHeardOfLater, fixture) {
+  balancer.OnSettled(false);
   balancer.OnUpstreams({Upstream(1)});
-  balancer.OnCallerPacket(Data(), {}, kStart);
-  balancer.OnReturned(Agent(1), {}, Data(), kStart);
+  Take(Data());
+  BOOST_TEST(Asked().size() == 1U);
+  Deny(Agent(1));
   BOOST_TEST(out.resets.empty());
   balancer.OnUpstreams({Upstream(1), Upstream(2)});
   balancer.OnSettled(true);
-  balancer.Tick(kStart + absl::Milliseconds(400));
-  BOOST_REQUIRE(out.sent.size() == 2U);
-  balancer.OnReturned(out.sent.back().first, {}, Data(), kStart);
+  const absl::Time later = kStart + absl::Milliseconds(400);
+  BOOST_TEST((Asked(later) == std::vector{Agent(2)}));
   BOOST_TEST(out.resets.empty());
-  balancer.OnReturned(out.sent.back().first, {}, Data(), kStart);
+  Deny(Agent(2), later);
   BOOST_TEST(out.resets.size() == 1U);
 }
 
@@ -262,22 +293,18 @@
 }
 
 // Pattern: the VM of a lost upstream is gone too, and did not say so.
-BOOST_FIXTURE_TEST_CASE(ASearchPassesOverASilentAgentByItself, fixture) {
+BOOST_FIXTURE_TEST_CASE(ASearchGoesOnWithoutASilentAgentAndIsNotSure, fixture) {
   Take(Data());
-  const ipv4_address first = LastAgent();
-  balancer.Tick(kStart + kSearchPatience - absl::Milliseconds(1));
-  BOOST_TEST(out.sent.size() == 1U);
-  balancer.Tick(kStart + kSearchPatience);
-  BOOST_REQUIRE(out.sent.size() == 2U);
-  BOOST_TEST((LastAgent() != first));
-  HandBack(LastAgent(), Data(), kStart + kSearchPatience);
-  HandBack(LastAgent(), Data(), kStart + kSearchPatience);
-  // It is the only one left, and is asked once more for this packet.
-  BOOST_TEST((LastAgent() == first));
-  const size_t sent = out.sent.size();
-  balancer.Tick(kStart + absl::Milliseconds(900));
-  BOOST_TEST(out.sent.size() == sent);
+  BOOST_TEST(Asked().size() == 3U);
+  Deny(Agent(1));
+  Deny(Agent(2));
+  BOOST_TEST(Asked(kStart + kSearchPatience).empty());
+  // It is asked again, and nothing is certain without it.
+  const absl::Time later = kStart + kReaskInterval;
+  BOOST_TEST((Asked(later) == std::vector{Agent(3)}));
   BOOST_TEST(out.resets.empty());
+  Deny(Agent(3), later);
+  BOOST_TEST(out.resets.size() == 1U);
 }
 
 // The same, and its agent had said that the upstream has ended.
@@ -287,15 +314,15 @@
   ended.silent = true;
   balancer.OnUpstreams({ended, Upstream(2)});
   Take(Data());
-  BOOST_TEST((LastAgent() == Agent(2)));
-  HandBack(LastAgent(), Data());
+  BOOST_TEST((Asked() == std::vector{Agent(2)}));
+  Deny(Agent(2));
   BOOST_TEST(out.resets.size() == 1U);
   // One that answers is asked: its upstream may have started since.
   ended.silent = false;
   balancer.OnUpstreams({ended, Upstream(2)});
   Take(Data());
-  HandBack(LastAgent(), Data());
-  BOOST_TEST((LastAgent() == Agent(1)));
+  BOOST_TEST((Asked() == std::vector{Agent(1), Agent(2)}));
+  Deny(Agent(2));
   BOOST_TEST(out.resets.size() == 1U);
 }
 
@@ -325,64 +352,136 @@
 
 BOOST_FIXTURE_TEST_CASE(AFlowThatAllDenyIsReset, fixture) {
   Take(Data());
-  HandBack(LastAgent(), Data());
-  HandBack(LastAgent(), Data());
+  const std::vector<ipv4_address> all = Asked();
+  BOOST_REQUIRE(all.size() == 3U);
+  Deny(all[0]);
+  Deny(all[1]);
+  Deny(all[1]);
   BOOST_TEST(out.resets.empty());
-  HandBack(LastAgent(), Data());
-  BOOST_TEST(out.resets.size() == 1U);
+  Deny(all[2]);
+  BOOST_REQUIRE(out.resets.size() == 1U);
+  BOOST_TEST(out.resets.front() == 501U);
 }
 
 BOOST_FIXTURE_TEST_CASE(AFlowIsNotResetWhileTheListMayLackUpstreams, fixture) {
   balancer.OnSettled(false);
   Take(Data());
-  for (int i = 0; i < 3; ++i) {
-    HandBack(LastAgent(), Data());
+  for (const ipv4_address& agent : Asked()) {
+    Deny(agent);
   }
   BOOST_TEST(out.resets.empty());
 }
 
-// The order of a search changes while it goes on; each agent is asked once.
+// The list changes while a search goes on; each agent is asked.
 BOOST_FIXTURE_TEST_CASE(ASearchAsksEveryAgentWhateverChangesMeanwhile,
                         fixture) {
   Take(Data());
-  std::vector<ipv4_address> asked = {LastAgent()};
+  BOOST_TEST(Asked().size() == 3U);
+  Deny(Agent(1));
   known_upstream silent = Upstream(1);
   silent.silent = true;
-  HandBack(LastAgent(), Data());
-  asked.push_back(LastAgent());
-  balancer.OnUpstreams({silent, Upstream(2), Upstream(3)});
-  HandBack(LastAgent(), Data());
-  if (out.resets.empty()) {
-    asked.push_back(LastAgent());
-  }
-  std::sort(asked.begin(), asked.end());
-  const std::vector<ipv4_address> all = {Agent(1), Agent(2), Agent(3)};
-  BOOST_TEST((asked == all));
+  balancer.OnUpstreams({silent, Upstream(2), Upstream(3), Upstream(4)});
+  Deny(Agent(2));
+  Deny(Agent(3));
+  BOOST_TEST(out.resets.empty());
+  BOOST_TEST((Asked() == std::vector{Agent(4)}));
+  Deny(Agent(4));
+  BOOST_TEST(out.resets.size() == 1U);
 }
 
 // The route's service may have been another one when the flow was opened.
 BOOST_FIXTURE_TEST_CASE(ASearchAsksOtherServicesToo, fixture) {
   balancer.OnUpstreams({Upstream(1), Upstream(2, "files")});
   Take(Data());
-  BOOST_TEST((LastAgent() == Agent(1)));
-  HandBack(Agent(1), Data());
-  BOOST_TEST((LastAgent() == Agent(2)));
+  BOOST_TEST((Asked() == std::vector{Agent(1), Agent(2)}));
+  Deny(Agent(1));
   BOOST_TEST(out.resets.empty());
-  HandBack(Agent(2), Data());
+  Deny(Agent(2));
+  BOOST_TEST(out.resets.size() == 1U);
+}
+
+// Packets that came meanwhile follow in their order.
+BOOST_FIXTURE_TEST_CASE(PacketsOfASearchGoToTheHolder, fixture) {
+  Take(Data());
+  Asked();
+  Take(Data(), kStart + absl::Milliseconds(1));
+  Answer(Agent(2), inner::HOLDER_CLAIM_HOLDS);
+  BOOST_TEST((GivenPackets() == std::vector{Agent(2), Agent(2)}));
+  BOOST_TEST(Measured("search_tries") == 0U);
+  out.sent.clear();
+  Take(Data(), kStart + absl::Milliseconds(2));
+  BOOST_TEST((GivenPackets() == std::vector{Agent(2)}));
+  Deny(Agent(1));
+  Deny(Agent(3));
+  BOOST_TEST(out.resets.empty());
+}
+
+// Flows that come in one round are asked for together.
+BOOST_FIXTURE_TEST_CASE(QueriesOfOneRoundShareADatagram, fixture) {
+  flow_packet other = Data();
+  other.source.port = 40002;
+  Take(Data());
+  Take(other);
+  balancer.Tick(kStart);
+  BOOST_REQUIRE(out.sent.size() == 3U);
+  for (const auto& [agent, datagram] : out.sent) {
+    BOOST_TEST(FlowsOf(datagram.query().flows()).size() == 2U);
+  }
+}
+
+// An agent that started later than its upstream cannot tell. A packet decides
+// once no other agent holds the flow.
+BOOST_FIXTURE_TEST_CASE(AnUncertainAgentIsTriedAfterAllHaveAnswered, fixture) {
+  Take(Data());
+  Asked();
+  Answer(Agent(1), inner::HOLDER_CLAIM_UNCERTAIN);
+  Deny(Agent(2));
+  BOOST_TEST(GivenPackets().empty());
+  Deny(Agent(3));
+  BOOST_TEST((GivenPackets() == std::vector{Agent(1)}));
+  BOOST_TEST(out.sent.back().second.carried().attempt() == 1U);
+  Deny(Agent(1));
+  BOOST_TEST(out.resets.size() == 1U);
+}
+
+// Its upstream has kept the packet, which needs no answer.
+BOOST_FIXTURE_TEST_CASE(APacketThatIsNotHandedBackIsAtItsHolder, fixture) {
+  Take(Data());
+  Asked();
+  Answer(Agent(1), inner::HOLDER_CLAIM_UNCERTAIN);
+  Deny(Agent(2));
+  Deny(Agent(3));
+  out.sent.clear();
+  const absl::Time later = kStart + kTryPatience;
+  balancer.Tick(later);
+  Take(Data(), later);
+  BOOST_TEST((GivenPackets() == std::vector{Agent(1)}));
+  // It has lost the packet on the way, and denies the flow after all.
+  Deny(Agent(1), later);
   BOOST_TEST(out.resets.size() == 1U);
 }
 
-// The agent of a VM that has gone does not answer.
-BOOST_FIXTURE_TEST_CASE(ASilentAgentDoesNotHoldUpTheSearch, fixture) {
+// The same, and the agent has gone meanwhile: the flow may be elsewhere.
+BOOST_FIXTURE_TEST_CASE(ASearchGoesOnWhereThePresumedAgentIsSilent, fixture) {
   Take(Data());
-  const ipv4_address mute = LastAgent();
-  Take(Data(), kStart + absl::Milliseconds(200));
-  BOOST_TEST((LastAgent() != mute));
-  HandBack(LastAgent(), Data(), kStart + absl::Milliseconds(201));
-  HandBack(LastAgent(), Data(), kStart + absl::Milliseconds(202));
-  // It is asked again as the last one, and nothing is certain without it.
-  BOOST_TEST((LastAgent() == mute));
+  Asked();
+  Answer(Agent(1), inner::HOLDER_CLAIM_UNCERTAIN);
+  Answer(Agent(2), inner::HOLDER_CLAIM_UNCERTAIN);
+  Answer(Agent(3), inner::HOLDER_CLAIM_UNCERTAIN);
+  const std::vector<ipv4_address> tried = GivenPackets();
+  BOOST_REQUIRE(tried.size() == kFirstTried);
+  Deny(tried[1]);
+  absl::Time now = kStart + kTryPatience;
+  Asked(now);
+  Take(Data(), now);
+  BOOST_TEST((Asked(now) == std::vector{tried[0]}));
+  now += kSearchPatience;
+  Asked(now);
+  Take(Data(), now);
+  // Two were tried, and the silent one may hold the flow.
+  BOOST_TEST(GivenPackets().empty());
   BOOST_TEST(out.resets.empty());
+  BOOST_TEST((Asked(now + kReaskInterval) == std::vector{tried[0]}));
 }
 
 BOOST_FIXTURE_TEST_CASE(OpeningsPassOverThoseThatDrain, fixture) {
--- a/src/flows/flow_id.h
+++ b/src/flows/flow_id.h
@@ -5,8 +5,10 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "base/ipv4_address.h"
+#include "inner/flow_datagram.pb.h"
 
 namespace cardamomroute {
 
@@ -37,6 +39,12 @@
 /// The weight of an agent for a flow in rendezvous hashing.
 uint64_t RendezvousWeight(uint64_t flow_hash, const ipv4_address& agent);
 
+/// Adds a flow to those that a message names.
+void AddFlow(const flow_id& flow, inner::flow_names* names);
+
+/// The flows that a message names.
+std::vector<flow_id> FlowsOf(const inner::flow_names& names);
+
 /// Stands for a service's name in packets between processes.
 uint64_t HashOfService(std::string_view name);
 
--- a/src/flows/flow_world_test_support.cc
+++ b/src/flows/flow_world_test_support.cc
@@ -102,6 +102,8 @@
     if (datagram.has_carried()) {
       core.OnCarried(from, datagram.carried(),
                      DecodeText(datagram.carried().packet()), world_->now_);
+    } else if (datagram.has_query()) {
+      core.OnHolderQuery(from, datagram.query());
     }
   }
 
@@ -124,6 +126,8 @@
         core.OnReturned(from, datagram.returned(),
                         DecodeText(datagram.returned().carried().packet()),
                         world->now_);
+      } else if (datagram.has_answer()) {
+        core.OnHolderAnswer(from, datagram.answer(), world->now_);
       } else if (datagram.has_notice()) {
         core.OnNotice(from, datagram.notice(), world->now_);
       } else if (datagram.has_load()) {
--- /dev/null
+++ b/src/flows/holder_search_test.cc
@@ -0,0 +1,225 @@
+#include "flows/holder_search.h"
+
+#include <rapidcheck/boost_test.h>
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <vector>
+
+namespace cardamomroute {
+namespace {
+
+BOOST_AUTO_TEST_SUITE(holder_search_test)
+
+constexpr absl::Time kStart = absl::UnixEpoch();
+
+ipv4_address Agent(size_t number) {
+  return {0x0a000001 + static_cast<uint32_t>(number), 7720};
+}
+
+std::vector<search_candidate> Candidates(size_t count) {
+  std::vector<search_candidate> candidates;
+  for (size_t i = 0; i < count; ++i) {
+    candidates.push_back({Agent(i), true, false});
+  }
+  return candidates;
+}
+
+bool IsIn(const std::vector<ipv4_address>& list, const ipv4_address& agent) {
+  return std::find(list.begin(), list.end(), agent) != list.end();
+}
+
+BOOST_AUTO_TEST_CASE(EachRoundAsksTwiceAsMany) {
+  const std::vector<search_candidate> candidates = Candidates(54);
+  holder_search search(kStart);
+  search.OnCandidates(candidates, true);
+  std::vector<size_t> rounds;
+  while (search.denied() < candidates.size()) {
+    const search_step step = search.Next(true, kStart);
+    BOOST_REQUIRE(!step.ask.empty());
+    rounds.push_back(step.ask.size());
+    for (const ipv4_address& agent : step.ask) {
+      search.OnDenied(agent);
+    }
+  }
+  const std::vector<size_t> wanted = {4, 8, 16, 26};
+  BOOST_TEST(rounds == wanted, boost::test_tools::per_element());
+  BOOST_TEST(search.Next(true, kStart).is_nowhere);
+}
+
+BOOST_AUTO_TEST_CASE(NothingIsSentWhileAnswersAreAwaited) {
+  holder_search search(kStart);
+  const std::vector<search_candidate> candidates = Candidates(20);
+  search.OnCandidates(candidates, true);
+  const search_step first = search.Next(true, kStart);
+  const absl::Time early = kStart + kSearchPatience - absl::Milliseconds(1);
+  BOOST_TEST(search.Next(true, early).ask.empty());
+  BOOST_TEST((search.NextDeadline() == kStart + kSearchPatience));
+  const search_step late = search.Next(true, kStart + kSearchPatience);
+  BOOST_TEST(late.unanswered.size() == first.ask.size());
+  BOOST_TEST(late.ask.size() == 8U);
+}
+
+// Pattern: a link that is choked, so that answers come late.
+BOOST_AUTO_TEST_CASE(ALateAnswerCounts) {
+  holder_search search(kStart);
+  const std::vector<search_candidate> candidates = Candidates(2);
+  search.OnCandidates(candidates, true);
+  search.Next(true, kStart);
+  const absl::Time later = kStart + absl::Seconds(1);
+  search.Next(true, later);
+  BOOST_TEST(search.silent() == 2U);
+  search.OnDenied(Agent(0));
+  search.OnDenied(Agent(1));
+  BOOST_TEST(search.Next(true, later).is_nowhere);
+}
+
+// Pattern: an agent is stopped, and others started again lately. Three packets
+// at other upstreams would break the flow.
+BOOST_AUTO_TEST_CASE(FewUpstreamsAreTriedWhileASilentAgentMayHoldTheFlow) {
+  holder_search search(kStart);
+  std::vector<search_candidate> candidates = Candidates(10);
+  search.OnCandidates(candidates, true);
+  search.Next(true, kStart);
+  for (size_t i = 1; i < candidates.size(); ++i) {
+    search.OnUncertain(Agent(i));
+  }
+  absl::Time now = kStart + kSearchPatience;
+  size_t tried = 0;
+  for (int round = 0; round < 20; ++round) {
+    const search_step step = search.Next(true, now);
+    tried += step.try_at.size();
+    for (const ipv4_address& agent : step.try_at) {
+      search.OnDenied(agent);
+    }
+    now += kReaskInterval;
+  }
+  BOOST_TEST(tried == kMostStrays);
+  BOOST_TEST(!search.Next(true, now).is_nowhere);
+  // Control does not hear it either, so that it cannot be reached.
+  candidates[0].is_silent = true;
+  search.OnCandidates(candidates, true);
+  BOOST_TEST(!search.Next(true, now).try_at.empty());
+}
+
+// Pattern: control has just started again and has heard few agents.
+BOOST_AUTO_TEST_CASE(FewUpstreamsAreTriedWhileAgentsMayBeMissing) {
+  holder_search search(kStart);
+  search.OnCandidates(Candidates(10), false);
+  size_t tried = 0;
+  for (int round = 0; round < 20; ++round) {
+    const search_step step = search.Next(true, kStart);
+    for (const ipv4_address& agent : step.ask) {
+      search.OnUncertain(agent);
+    }
+    for (const ipv4_address& agent : step.try_at) {
+      search.OnDenied(agent);
+    }
+    tried += step.try_at.size();
+  }
+  BOOST_TEST(tried == kMostStrays);
+  search.OnCandidates(Candidates(10), true);
+  BOOST_TEST(!search.Next(true, kStart).try_at.empty());
+}
+
+BOOST_AUTO_TEST_CASE(AnAgentThatIsBackIsAskedAndTriedAtOnce) {
+  holder_search search(kStart);
+  const std::vector<search_candidate> candidates = Candidates(2);
+  search.OnCandidates(candidates, true);
+  search.Next(true, kStart);
+  search.OnDenied(Agent(1));
+  const absl::Time later = kStart + kReaskInterval;
+  BOOST_TEST(IsIn(search.Next(true, later).ask, Agent(0)));
+  search.OnUncertain(Agent(0));
+  BOOST_TEST(IsIn(search.Next(true, later).try_at, Agent(0)));
+}
+
+// Pattern: packets are lost on the way to upstreams that are tried.
+BOOST_AUTO_TEST_CASE(ThoseThatWereTriedInVainArePresumedByTurns) {
+  holder_search search(kStart);
+  search.OnCandidates(Candidates(2), true);
+  search.Next(true, kStart);
+  search.OnUncertain(Agent(0));
+  search.OnUncertain(Agent(1));
+  BOOST_TEST(search.Next(true, kStart).try_at.size() == 2U);
+  const absl::Time later = kStart + kTryPatience;
+  BOOST_TEST((search.Next(true, later).presumed == Agent(0)));
+  search.OnDenied(Agent(0));
+  BOOST_TEST((search.NextDeadline() <= later));
+  BOOST_TEST((search.Next(true, later).presumed == Agent(1)));
+}
+
+// Pattern: the balancer is cut off, and all agents seem silent.
+BOOST_AUTO_TEST_CASE(ABalancerThatReachesNobodyAsksFewAtATime) {
+  std::vector<search_candidate> candidates = Candidates(54);
+  for (search_candidate& candidate : candidates) {
+    candidate.is_reachable = false;
+  }
+  holder_search search(kStart);
+  search.OnCandidates(candidates, true);
+  BOOST_TEST(search.Next(true, kStart).ask.size() == kFirstAsked);
+  BOOST_TEST(!search.CanGoOn());
+  BOOST_TEST(search.Next(true, kStart).ask.empty());
+  BOOST_TEST((search.NextDeadline() == kStart + kSearchPatience));
+}
+
+BOOST_AUTO_TEST_CASE(WithoutAPacketNoUpstreamIsTried) {
+  holder_search search(kStart);
+  const std::vector<search_candidate> candidates = Candidates(1);
+  search.OnCandidates(candidates, true);
+  search.Next(false, kStart);
+  search.OnUncertain(Agent(0));
+  BOOST_TEST(search.Next(false, kStart).try_at.empty());
+  BOOST_TEST(search.Next(true, kStart).try_at.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(WithoutCandidatesAFlowIsNotNowhere) {
+  holder_search search(kStart);
+  BOOST_TEST(!search.Next(true, kStart).is_nowhere);
+}
+
+// Whatever agents say and in whichever order, the holder is found as long as it
+// answers in the end, and no flow is nowhere that has a holder.
+RC_BOOST_PROP(TheHolderIsFound, ()) {
+  const size_t count = *rc::gen::inRange<size_t>(1, 80);
+  const size_t holder = *rc::gen::inRange<size_t>(0, count);
+  const auto kinds =
+      *rc::gen::container<std::vector<int>>(count, rc::gen::inRange(0, 3));
+  const bool holder_is_certain = *rc::gen::arbitrary<bool>();
+  const std::vector<search_candidate> candidates = Candidates(count);
+  holder_search search(kStart);
+  search.OnCandidates(candidates, true);
+  bool is_found = false;
+  absl::Time now = kStart;
+  for (int round = 0; round < 40 && !is_found; ++round) {
+    const search_step step = search.Next(true, now);
+    RC_ASSERT(!step.is_nowhere);
+    is_found = step.presumed == Agent(holder);
+    for (const ipv4_address& agent : step.try_at) {
+      if (agent != Agent(holder)) {
+        search.OnDenied(agent);
+      }
+    }
+    for (const ipv4_address& agent : step.ask) {
+      const size_t number = agent.ip - Agent(0).ip;
+      // One kind answers only from the fourth round on.
+      if (kinds[number] == 2 && round < 3) {
+        continue;
+      }
+      if (number == holder && holder_is_certain) {
+        is_found = true;
+      } else if (number == holder || kinds[number] == 1) {
+        search.OnUncertain(agent);
+      } else {
+        search.OnDenied(agent);
+      }
+    }
+    now += kSearchPatience;
+  }
+  RC_ASSERT(is_found);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace cardamomroute
--- a/src/flows/upstream_table.cc
+++ b/src/flows/upstream_table.cc
@@ -10,20 +10,35 @@
 
 using ranked_index = std::pair<uint64_t, size_t>;
 
-/// Where an upstream stands in the search for a flow; the highest is asked
+/// Where an upstream stands in the search for a flow; the lowest is asked
 /// first.
 struct search_rank {
-  bool is_reachable = false;
-  bool is_of_route = false;
-  bool has_upstream = false;
+  /// Place of its service among the shares of the route, as the flow's hash
+  /// chooses among them.
+  size_t share = 0;
+  bool lacks_upstream = false;
   uint64_t weight = 0;
+  const known_upstream* known = nullptr;
+  bool is_reachable = false;
 
-  friend bool operator>(const search_rank& a, const search_rank& b) {
-    return std::tie(a.is_reachable, a.is_of_route, a.has_upstream, a.weight) >
-           std::tie(b.is_reachable, b.is_of_route, b.has_upstream, b.weight);
+  friend bool operator<(const search_rank& a, const search_rank& b) {
+    return std::tie(a.share, a.lacks_upstream, b.weight) <
+           std::tie(b.share, b.lacks_upstream, a.weight);
   }
 };
 
+/// The services of the route, the one that the flow was placed at first; others
+/// where its upstreams had no room.
+std::vector<uint64_t> ServicesOf(const flow_route& route, uint64_t flow_hash) {
+  std::vector<uint64_t> services;
+  uint64_t excluded = 0;
+  while (const flow_share* share = route.ShareOf(flow_hash, excluded)) {
+    services.push_back(share->service);
+    excluded |= uint64_t{1} << (share - route.shares.data());
+  }
+  return services;
+}
+
 /// Keeps the `most` highest, highest first.
 void KeepHighest(size_t most, std::vector<ranked_index>* ranked) {
   const size_t kept = std::min(most, ranked->size());
@@ -63,12 +78,6 @@
   return found != places_.end() ? &upstreams_[found->second] : nullptr;
 }
 
-bool upstream_table::IsReachable(const ipv4_address& agent,
-                                 absl::Time now) const {
-  const auto found = places_.find(agent);
-  return found != places_.end() && upstreams_[found->second].IsReachable(now);
-}
-
 uint64_t upstream_table::ServiceOf(const ipv4_address& agent) const {
   const auto found = places_.find(agent);
   return found != places_.end() ? upstreams_[found->second].service : 0;
@@ -134,33 +143,32 @@
   return chosen;
 }
 
-ipv4_address upstream_table::NextToAsk(uint64_t flow_hash,
-                                       const flow_route& route,
-                                       absl::Span<const ipv4_address> denied,
-                                       absl::Time now) const {
-  search_rank best;
-  const upstream* next = nullptr;
+std::vector<search_candidate> upstream_table::SearchOrder(
+    uint64_t flow_hash, const flow_route& route, absl::Time now) const {
+  const std::vector<uint64_t> services = ServicesOf(route, flow_hash);
+  std::vector<search_rank> ranked;
+  ranked.reserve(upstreams_.size());
   for (const upstream& item : upstreams_) {
-    if (std::find(denied.begin(), denied.end(), item.known.agent) !=
-        denied.end()) {
-      continue;
-    }
-    if (item.known.state == upstream_state::kEnded && !item.IsReachable(now)) {
+    const bool is_reachable = item.IsReachable(now);
+    if (item.known.state == upstream_state::kEnded && !is_reachable) {
       continue;  // It would deny the flow.
     }
-    const bool is_of_route = std::any_of(
-        route.shares.begin(), route.shares.end(),
-        [&](const flow_share& share) { return share.service == item.service; });
-    const search_rank rank{item.IsReachable(now), is_of_route,
-                           item.known.state == upstream_state::kServing ||
-                               item.known.state == upstream_state::kDraining,
-                           RendezvousWeight(flow_hash, item.known.agent)};
-    if (next == nullptr || rank > best) {
-      best = rank;
-      next = &item;
-    }
+    const auto service =
+        std::find(services.begin(), services.end(), item.service);
+    const bool has_upstream = item.known.state == upstream_state::kServing ||
+                              item.known.state == upstream_state::kDraining;
+    ranked.push_back({static_cast<size_t>(service - services.begin()),
+                      !has_upstream,
+                      RendezvousWeight(flow_hash, item.known.agent),
+                      &item.known, is_reachable});
+  }
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<search_candidate> order;
+  order.reserve(ranked.size());
+  for (const search_rank& rank : ranked) {
+    order.push_back({rank.known->agent, rank.is_reachable, rank.known->silent});
   }
-  return next != nullptr ? next->known.agent : ipv4_address();
+  return order;
 }
 
 }  // namespace cardamomroute
--- a/src/flows/upstream_table.h
+++ b/src/flows/upstream_table.h
@@ -13,19 +13,16 @@
 #include "directory/known_upstream.h"
 #include "flows/flow_id.h"
 #include "flows/route_set.h"
+#include "flows/search_candidate.h"
 #include "inner/flow_datagram.pb.h"
 
 namespace cardamomroute {
 
 /// Upstreams among which a flow is placed at most, those that rendezvous
 /// hashing puts first. A flow that a balancer does not know is looked for in
-/// the same order, so this bounds the search.
+/// the same order, so that few are asked as a rule.
 inline constexpr size_t kPlacementCandidates = 8;
 
-/// Agents that are asked for a flow at most: the candidates, and others that
-/// were candidates before the list of upstreams changed.
-inline constexpr size_t kSearchedAgents = 24;
-
 /// A request that waits for its answer counts as so many open flows: a flow is
 /// mostly idle, and a slot that is taken is felt at once.
 inline constexpr uint32_t kBusyFlowWeight = 4;
@@ -52,22 +49,19 @@
   ipv4_address Place(uint64_t flow_hash, const flow_route& route,
                      absl::Span<const ipv4_address> tried, absl::Time now);
 
-  /// The agent to ask next in the search for a flow, passing over those that
-  /// have denied it; a zero address where none is left. Agents that may not
-  /// answer come last, or not at all where their upstream has ended. Those of
-  /// the route's services come first, but a flow may be held by a service that
-  /// the route had in an older configuration.
-  ipv4_address NextToAsk(uint64_t flow_hash, const flow_route& route,
-                         absl::Span<const ipv4_address> denied,
-                         absl::Time now) const;
+  /// All agents whose upstream may hold the flow, in the order in which it was
+  /// placed: service by service as the route's shares have it, the likeliest of
+  /// each first. Last come other services, which the route may have had in an
+  /// older configuration. An upstream that has ended and whose agent is not
+  /// likely to answer is left out.
+  std::vector<search_candidate> SearchOrder(uint64_t flow_hash,
+                                            const flow_route& route,
+                                            absl::Time now) const;
 
   /// Hash of the name of the service that the agent's upstream belongs to; 0
   /// for an unknown agent.
   uint64_t ServiceOf(const ipv4_address& agent) const;
 
-  /// Whether the agent is likely to answer.
-  bool IsReachable(const ipv4_address& agent, absl::Time now) const;
-
   size_t size() const { return upstreams_.size(); }
 
  private:
