Failed cases show what callers know of unanswered requests

Callers' reports now list each request that was not answered: its flow as logs write it, when it was sent and ended, the code of the answer, and whether the answer has the request's token. A failed case prints them and the log lines about the flows of up to four, those that a fault names first, from all processes.

--- a/src/load/caller_fleet.cc
+++ b/src/load/caller_fleet.cc
@@ -3,10 +3,12 @@
 #include <coap3/coap.h>
 
 #include <algorithm>
+#include <array>
 #include <cstring>
 #include <string_view>
 #include <utility>
 
+#include "absl/time/clock.h"
 #include "base/concat.h"
 #include "cardamomroute/socket_address.h"
 #include "cardamomroute/steady_time.h"
@@ -59,12 +61,25 @@
   return address;
 }
 
+/// For example 127.0.0.1:40000.
+std::string LocalAddress(const coap_session_t* session) {
+  std::array<unsigned char, 64> text{};
+  const size_t length = coap_print_addr(coap_session_get_addr_local(session),
+                                        text.data(), text.size());
+  return {reinterpret_cast<const char*>(text.data()), length};
+}
+
 /// For example 503 for 5.03.
 int CodeOf(const coap_pdu_t* received) {
   const int code = coap_pdu_get_code(received);
   return (code >> 5) * 100 + (code & 31);
 }
 
+std::string TokenOf(const coap_pdu_t* received) {
+  const coap_bin_const_t token = coap_pdu_get_token(received);
+  return {reinterpret_cast<const char*>(token.s), token.length};
+}
+
 std::string_view BodyOf(const coap_pdu_t* received) {
   size_t length = 0;
   size_t offset = 0;
@@ -195,7 +210,7 @@
         },
         kept);
   }
-  caller->sent_at = now;
+  caller->sent_at = absl::Now();
   caller->give_up_at = now + absl::Seconds(plan_.patience_seconds);
   coap_send(caller->session, pdu);
 }
@@ -212,9 +227,7 @@
 
 bool caller_fleet::IsLate(const caller_session& caller,
                           const coap_pdu_t* received) {
-  const coap_bin_const_t token = coap_pdu_get_token(received);
-  const std::string answered(reinterpret_cast<const char*>(token.s),
-                             token.length);
+  const std::string answered = TokenOf(received);
   // An answer that names a request of somebody else is judged all the same.
   const std::string id = IdIn(received);
   return answered != caller.token && caller.past_tokens.count(answered) != 0 &&
@@ -274,20 +287,25 @@
     caller->observing = true;
     caller->last_notification = now;
   }
-  Finish(caller, judged, now);
+  Finish(caller, judged, received);
 }
 
 void caller_fleet::OnGivenUp(coap_session_t* session) {
   caller_session* caller = Find(session);
   if (caller != nullptr && !caller->request_id.empty()) {
-    Finish(caller, outcome::kLost, SteadyNow());
+    Finish(caller, outcome::kLost, /*received=*/nullptr);
   }
 }
 
 void caller_fleet::Finish(caller_session* caller, outcome value,
-                          absl::Time now) {
-  counts_.Add(value, caller->request_id,
-              absl::ToDoubleMilliseconds(now - caller->sent_at));
+                          const coap_pdu_t* received) {
+  ended_request ended{caller->request_id, LocalAddress(caller->session),
+                      caller->sent_at, absl::Now()};
+  if (received != nullptr) {
+    ended.code = CodeOf(received);
+    ended.has_token = TokenOf(received) == caller->token;
+  }
+  counts_.Add(value, ended);
   caller->past_ids.insert(std::exchange(caller->request_id, ""));
   caller->give_up_at = absl::InfiniteFuture();
 }
@@ -295,7 +313,7 @@
 void caller_fleet::GiveUpOverdue(absl::Time now) {
   for (caller_session& caller : sessions_) {
     if (caller.give_up_at <= now) {
-      Finish(&caller, outcome::kLost, now);
+      Finish(&caller, outcome::kLost, /*received=*/nullptr);
     }
   }
 }
--- a/src/load/caller_fleet.h
+++ b/src/load/caller_fleet.h
@@ -46,6 +46,7 @@
     std::set<std::string> past_tokens;
     /// Requests of this session that have ended.
     std::set<std::string> past_ids;
+    /// Wall-clock time, as in logs.
     absl::Time sent_at = absl::InfinitePast();
     absl::Time give_up_at = absl::InfiniteFuture();
     absl::Time last_notification = absl::InfinitePast();
@@ -55,7 +56,9 @@
   caller_session* Find(coap_session_t* session);
   void SendNext(absl::Time now);
   void Send(caller_session* caller, absl::Time now);
-  void Finish(caller_session* caller, outcome value, absl::Time now);
+  /// `received` is the answer, or null.
+  void Finish(caller_session* caller, outcome value,
+              const coap_pdu_t* received);
   /// The id of the request that an answer names; empty where it names none.
   static std::string IdIn(const coap_pdu_t* received);
   /// An answer to a request that has ended here (RFC 7252, section 5.3.2).
--- a/src/load/outcome_counts.cc
+++ b/src/load/outcome_counts.cc
@@ -11,21 +11,37 @@
     "answered", "not_run", "unknown",      "refused",
     "lost",     "crossed", "wrong_service"};
 
+// As in logs.
+std::string FormatUtc(absl::Time time) {
+  return absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ", time, absl::UTCTimeZone());
+}
+
 constexpr std::array<int, 8> kLatencyPercents = {10, 25, 50, 75,
                                                  90, 95, 98, 99};
 
+nlohmann::json ToJson(const ended_request& request) {
+  return {{"id", request.id},
+          {"flow", request.flow},
+          {"sent", FormatUtc(request.sent_at)},
+          {"ended", FormatUtc(request.ended_at)},
+          {"code", request.code},
+          {"has_token", request.has_token}};
+}
+
 }  // namespace
 
 std::string_view NameOf(outcome value) {
   return kNames.at(static_cast<size_t>(value));
 }
 
-void outcome_counts::Add(outcome value, const std::string& request_id,
-                         double latency_ms) {
+void outcome_counts::Add(outcome value, const ended_request& request) {
   ++counts_.at(static_cast<size_t>(value));
-  ids_.at(static_cast<size_t>(value)).push_back(request_id);
+  ids_.at(static_cast<size_t>(value)).push_back(request.id);
   if (value == outcome::kAnswered) {
-    latencies_ms_.push_back(latency_ms);
+    latencies_ms_.push_back(
+        absl::ToDoubleMilliseconds(request.ended_at - request.sent_at));
+  } else {
+    unanswered_.at(static_cast<size_t>(value)).push_back(request);
   }
 }
 
@@ -34,6 +50,9 @@
   for (size_t i = 0; i < kOutcomes; ++i) {
     report[std::string(kNames.at(i))] = counts_.at(i);
     report["ids"][std::string(kNames.at(i))] = ids_.at(i);
+    for (const ended_request& request : unanswered_.at(i)) {
+      report["unanswered"].push_back(cardamomroute::load::ToJson(request));
+    }
   }
   for (const auto& [code, count] : codes_) {
     report["codes"][std::to_string(code)] = count;
--- a/tools/case.py
+++ b/tools/case.py
@@ -19,6 +19,10 @@
 # before them those about requests that were not served.
 LOG_TAIL_LINES = 40
 LOG_FAILURE_LINES = 40
+# What a failed case prints of requests without an answer.
+UNANSWERED_LINES = 40
+TRACED_REQUESTS = 4
+FLOW_LINES = 60
 FAILURE_MARKS = (
     "decision=unknown", "decision=refused", "decision=not-run",
     "reason=lease-expired", "reason=no-target", "reason=is-draining",
@@ -86,6 +90,37 @@
     return faults
 
 
+def unanswered_requests(folder, faults):
+    """What callers know of requests that had no answer, those that a fault
+    names first."""
+    requests = [request for path in pathlib.Path(folder).glob("callers-*.json")
+                for request in json.loads(path.read_text()).get("unanswered", [])]
+    return sorted(requests, key=lambda request: (
+        not any(f"'{request['id']}'" in fault for fault in faults),
+        request["sent"]))
+
+
+def flow_lines(folder, request):
+    """Log lines about a request's flow from when it was sent to its end."""
+    after, until = f"time={request['sent']}", f"time={request['ended']}"
+    for path in pathlib.Path(folder).rglob("*.log"):
+        for line in path.read_text(errors="replace").splitlines():
+            time_of_line = line.split(" ", 1)[0]
+            if (after <= time_of_line <= until
+                    and f"flow={request['flow']} " in line):
+                yield f"{line} [{path.stem}]"
+
+
+def print_flows(folder, faults):
+    """Requests that had no answer, and the log lines about some of them."""
+    requests = unanswered_requests(folder, faults)
+    print(f"--- unanswered, {len(requests)} in all")
+    print("\n".join(map(json.dumps, requests[:UNANSWERED_LINES])))
+    for request in requests[:TRACED_REQUESTS]:
+        print(f"--- flow {request['flow']} of {request['id']}")
+        print("\n".join(sorted(flow_lines(folder, request))[-FLOW_LINES:]))
+
+
 def print_logs(folder):
     """The last lines of what every process of the site wrote, and what it wrote
     about requests that were not served."""
@@ -112,5 +147,6 @@
         for key, count in faults.items():
             print(f"NOT KEPT: {key}: {count}")
         if faults:
+            print_flows(folder, faults)
             print_logs(folder)
     sys.exit(1 if faults else 0)
