Stand-in callers take only answers with the request's token

It is no failure of the product: that upload's caller heard a late answer to an upload before it.

Cause: libcoap uses tokens of its own for blocks, and passes a late answer on with such a token once the upload has ended. caller_fleet ignored only late answers with tokens that it had made itself, and took this one as the outcome of the request that was under way.

Not a weaker check: answers that name a request of somebody else still count as crossed, and an answer with a wrong token leaves its request lost, which no case allows.

--- a/src/load/caller_fleet.cc
+++ b/src/load/caller_fleet.cc
@@ -188,9 +188,8 @@
   size_t token_bytes = 0;
   coap_session_new_token(caller->session, &token_bytes, token.data());
   coap_add_token(pdu, token_bytes, token.data());
-  caller->past_tokens.insert(std::exchange(
-      caller->token,
-      std::string(reinterpret_cast<const char*>(token.data()), token_bytes)));
+  caller->token.assign(reinterpret_cast<const char*>(token.data()),
+                       token_bytes);
   caller->request_id =
       Concat(script.name, "-", plan_.seed, "-", next_request_++);
   if (script.observe) {
@@ -227,10 +226,9 @@
 
 bool caller_fleet::IsLate(const caller_session& caller,
                           const coap_pdu_t* received) {
-  const std::string answered = TokenOf(received);
   // An answer that names a request of somebody else is judged all the same.
   const std::string id = IdIn(received);
-  return answered != caller.token && caller.past_tokens.count(answered) != 0 &&
+  return TokenOf(received) != caller.token &&
          (id.empty() || caller.past_ids.count(id) != 0);
 }
 
--- a/src/load/caller_fleet.h
+++ b/src/load/caller_fleet.h
@@ -43,7 +43,6 @@
     coap_session_t* session = nullptr;
     std::string request_id;
     std::string token;
-    std::set<std::string> past_tokens;
     /// Requests of this session that have ended.
     std::set<std::string> past_ids;
     /// Wall-clock time, as in logs.
@@ -61,7 +60,9 @@
               const coap_pdu_t* received);
   /// The id of the request that an answer names; empty where it names none.
   static std::string IdIn(const coap_pdu_t* received);
-  /// An answer to a request that has ended here (RFC 7252, section 5.3.2).
+  /// An answer to a request that has ended here (RFC 7252, section 5.3.2). Its
+  /// token need not be that of the request: libcoap has others for blocks and
+  /// for repeats with an Echo value.
   static bool IsLate(const caller_session& caller, const coap_pdu_t* received);
   static bool IsRepeat(const caller_session& caller,
                        const coap_pdu_t* received);
