Agents go on with flows that they know, whatever view a balancer has

What callers saw: "unknown" (5.04) from the agent that held their flow, 1 s after the request, while the control leader was dead; one was in the middle of an upload that this agent was answering. Where the request is the repeat of a call whose answer was lost with a killed balancer, it is "run elsewhere without an answer", for which testsuite/zone_killed failed once (2026-12-04 10:39, beside load).

Cause: an agent kept every packet with a later view version than its own until it had that view, 1 s at most, and then refused it, also where it held the flow. Balancers take views from one another; with the leader gone an agent may get it later than they.

Change: such a packet goes its way at once where the flow is held, being handed over or redirected here. The sender's view has this very target, as the packet names it and ids of targets are never used again. The view is pulled as before, and no flow is placed under a view that is not known.

Two new cases of routing/flow_peers_test fail without it, a third keeps new flows out.

--- a/src/routing/flow_core.cc
+++ b/src/routing/flow_core.cc
@@ -88,7 +88,10 @@
     return;
   }
   if (item.header.view_version > view_version_) {
-    AwaitView(&item, now, actions);
+    PullNow(item.header.view_version, now, actions);
+    if (!TryKnown(&item, now, actions)) {
+      AwaitView(&item, now, actions);
+    }
     return;
   }
   if (!IsMember()) {
@@ -122,6 +125,15 @@
   FindHolder(item, now, actions);
 }
 
+// A later view changes nothing for a flow whose holder is known: the one who
+// sent this packet has this target in that view.
+bool flow_core::TryKnown(packet* item, absl::Time now, flow_actions* actions) {
+  return item->header.kind == packet_kind::kFromCaller &&
+         item->header.receiver == own_id_ && IsMember() &&
+         (TryHeld(item, actions) || TryOutgoing(item, actions) ||
+          TryRedirect(item, now, actions));
+}
+
 bool flow_core::TryHeld(packet* item, flow_actions* actions) {
   const auto found = held_.find(item->header.flow.caller);
   if (found == held_.end()) {
@@ -318,7 +330,6 @@
 }
 
 void flow_core::AwaitView(packet* item, absl::Time now, flow_actions* actions) {
-  PullNow(item->header.view_version, now, actions);
   if (!CarriesCallerPayload(item->header.kind)) {
     Drop(item, flow_reason::kAwaitsView, actions);
     return;
--- a/src/routing/flow_core.h
+++ b/src/routing/flow_core.h
@@ -114,6 +114,7 @@
   void OnPacketOfOthers(packet* item, flow_actions* actions);
 
   // Decisions about one caller's packet.
+  bool TryKnown(packet* item, absl::Time now, flow_actions* actions);
   bool TryHeld(packet* item, flow_actions* actions);
   bool TryOutgoing(packet* item, flow_actions* actions);
   bool TryRedirect(packet* item, absl::Time now, flow_actions* actions);
--- a/src/routing/flow_peers_test.cc
+++ b/src/routing/flow_peers_test.cc
@@ -131,6 +131,42 @@
   BOOST_TEST(FindMessage(actions, packet_kind::kRegister)->to == kPeer);
 }
 
+// Guards against callers being told "unknown" by the holder of their flow,
+// while it cannot get the view that their balancer has: with the control leader
+// dead, a call ran and its repeat was refused.
+BOOST_FIXTURE_TEST_CASE(keeps_its_flows_while_its_view_is_behind,
+                        peer_fixture) {
+  const endpoint caller = CallerOf(kPeer, kPeer);
+  Receive(MakeGrant(*this, caller));
+  packet_header header = Header(packet_kind::kFromCaller, caller, 0);
+  header.view_version = 2;
+  const flow_actions actions = Receive(header);
+  BOOST_TEST(FindKind(actions, flow_action_kind::kDeliver) != nullptr);
+  BOOST_TEST(FindKind(actions, flow_action_kind::kPullNow) != nullptr);
+}
+
+// The same at the flow's home.
+BOOST_FIXTURE_TEST_CASE(redirects_flows_while_its_view_is_behind,
+                        peer_fixture) {
+  const endpoint caller = CallerOf(kOwn, kOwn);
+  ReceiveRegister(caller, kPeer, 100);
+  packet_header header = Header(packet_kind::kFromCaller, caller, 0);
+  header.view_version = 2;
+  const flow_actions actions = Receive(header);
+  BOOST_REQUIRE(FindMessage(actions, packet_kind::kFromCaller) != nullptr);
+  BOOST_TEST(FindMessage(actions, packet_kind::kFromCaller)->to == kPeer);
+  BOOST_TEST(FindKind(actions, flow_action_kind::kPullNow) != nullptr);
+}
+
+BOOST_FIXTURE_TEST_CASE(places_no_flow_while_its_view_is_behind, peer_fixture) {
+  packet_header header =
+      Header(packet_kind::kFromCaller, CallerOf(kOwn, kOwn), 0);
+  header.view_version = 2;
+  const flow_actions actions = Receive(header);
+  BOOST_TEST(FindKind(actions, flow_action_kind::kDeliver) == nullptr);
+  BOOST_TEST(FindKind(actions, flow_action_kind::kRefuse) == nullptr);
+}
+
 BOOST_FIXTURE_TEST_CASE(refuses_a_grant_of_a_former_home, peer_fixture) {
   const endpoint caller = CallerOf(kPeer, kJoining);
   ShowFourth();
