A flow is reset only by a list of upstreams that is newer than its search

A balancer polls control four times a second; an upstream that has just come may get flows through balancers that know it, while the next packet reaches one that does not. All agents that this one knew denied the flow, and it reset it. Control's list counted as whole also for 2 s after its last answer.

The follower now says as of when the list is whole: when the newest answer of a member that may say so was asked for. A search ends with a reset only where that is not before its own beginning, so that a poll lies between. Whoever opened the flow knew its upstream before that.

Evidence: AFlowIsNotResetByAListThatIsOlderThanItsSearch and AFlowThatAllDenyIsResetOnceTheListIsNewer (flows/flow_balancer_test) fail with the former condition in place: reset at once, and the upstream that is heard of next is never asked. AListIsSettledAsOfItsLastAnswer (directory/directory_test).

Ruled out: waiting for an announcement interval on top; agents announce to all members at once, and the flow was opened after that. Price: a flow whose upstream is gone is reset up to one poll (250 ms) later.

--- a/src/directory/directory_follower.cc
+++ b/src/directory/directory_follower.cc
@@ -90,6 +90,7 @@
   teller.first_poll = 0;
   teller.poll = 0;
   teller.heard_at = now;
+  teller.answer_asked_at = teller.asked_at;
   if (!teller.answers) {
     teller.answers = true;
     list_changed_ = true;
@@ -101,7 +102,8 @@
   TakeUpstreams(page, &teller);
   const bool more = TakeRoutes(page) || page.more();
   const absl::Duration pause =
-      IsComplete() && IsSettled() ? kPollInterval : kFirstPollTimeout;
+      IsComplete() && SettledAsOf() > absl::InfinitePast() ? kPollInterval
+                                                           : kFirstPollTimeout;
   teller.due = more ? now : now + pause;
   next_ = std::min(next_, teller.due);
 }
@@ -162,16 +164,19 @@
   return false;
 }
 
-bool directory_follower::IsSettled() const {
-  const auto tellers_of_age = [this](absl::Duration age) {
-    return std::count_if(
-        members_.begin(), members_.end(), [age](const auto& entry) {
-          const member& teller = entry.second;
-          return teller.answers && teller.listed && teller.age >= age;
-        });
-  };
-  return tellers_of_age(kSettledAge) >= 1 ||
-         tellers_of_age(kSettledAgeOfTwo) >= 2;
+absl::Time directory_follower::SettledAsOf() const {
+  size_t tellers = 0;
+  bool is_settled = false;
+  absl::Time newest = absl::InfinitePast();
+  for (const auto& [address, teller] : members_) {
+    if (!teller.answers || !teller.listed || teller.age < kSettledAgeOfTwo) {
+      continue;
+    }
+    ++tellers;
+    is_settled = is_settled || tellers >= 2 || teller.age >= kSettledAge;
+    newest = std::max(newest, teller.answer_asked_at);
+  }
+  return is_settled ? newest : absl::InfinitePast();
 }
 
 const followed_routes* directory_follower::TakeNewRoutes() {
--- a/src/directory/directory_follower.h
+++ b/src/directory/directory_follower.h
@@ -89,8 +89,10 @@
   /// True once it knows routes and a member's whole list of upstreams.
   bool IsComplete() const { return routes_.version != 0 && has_list_; }
 
-  /// True where the list of upstreams lacks none whose agent goes on.
-  bool IsSettled() const;
+  /// The list of upstreams lacks none whose agent went on at that time: when
+  /// the newest answer that says so was asked for. Infinitely long ago where
+  /// there is none.
+  absl::Time SettledAsOf() const;
 
   uint64_t routes_version() const { return routes_.version; }
 
@@ -102,8 +104,9 @@
     /// where none is under way. All of them ask for the same.
     uint64_t poll = 0;
     uint64_t first_poll = 0;
-    /// When `first_poll` was sent.
+    /// When `first_poll` was sent, and the first poll of the last answer.
     absl::Time asked_at = absl::InfinitePast();
+    absl::Time answer_asked_at = absl::InfinitePast();
     absl::Time due = absl::InfinitePast();
     absl::Time heard_at = absl::InfinitePast();
     bool answers = false;
--- a/src/directory/directory_test.cc
+++ b/src/directory/directory_test.cc
@@ -72,6 +72,9 @@
                 const inner::announcement& announced) {
     members.at(member).OnAnnouncement(announced, now);
   }
+  bool IsSettled() const {
+    return follower.SettledAsOf() > absl::InfinitePast();
+  }
   std::vector<known_upstream> Known() {
     if (auto latest = follower.TakeNewUpstreams()) {
       known = *latest;
@@ -125,7 +128,7 @@
   }
   BOOST_TEST(follower.IsComplete());
   BOOST_TEST(follower.routes_version() == 9U);
-  BOOST_TEST(follower.IsSettled());
+  BOOST_TEST(IsSettled());
 }
 
 BOOST_FIXTURE_TEST_CASE(ABalancerGetsAllRoutesAndUpstreams, fixture) {
@@ -238,9 +241,9 @@
   BOOST_TEST(!follower.IsComplete());
   Run(absl::Milliseconds(300));
   BOOST_TEST(follower.IsComplete());
-  BOOST_TEST(!follower.IsSettled());
+  BOOST_TEST(!IsSettled());
   Run(absl::Seconds(2));
-  BOOST_TEST(follower.IsSettled());
+  BOOST_TEST(IsSettled());
 }
 
 // Pattern: all have stopped, and callers of flows that are lost wait until the
@@ -250,9 +253,22 @@
   members.at(kMember) = node_directory(7, now);
   members.emplace(kOtherMember, node_directory(3, now));
   Run(absl::Milliseconds(550));
-  BOOST_TEST(!follower.IsSettled());
+  BOOST_TEST(!IsSettled());
   Run(absl::Milliseconds(150));
-  BOOST_TEST(follower.IsSettled());
+  BOOST_TEST(IsSettled());
+}
+
+// Guards against resets of flows at upstreams that other balancers have heard
+// of meanwhile.
+BOOST_FIXTURE_TEST_CASE(AListIsSettledAsOfItsLastAnswer, fixture) {
+  Run(absl::Seconds(3));
+  const absl::Time answered = follower.SettledAsOf();
+  BOOST_TEST(now - answered <= kPollInterval + absl::Milliseconds(10));
+  members.erase(kMember);
+  Run(absl::Seconds(1));
+  BOOST_TEST(now - follower.SettledAsOf() >= absl::Seconds(1));
+  Run(kMemberSay);
+  BOOST_TEST(!IsSettled());
 }
 
 BOOST_FIXTURE_TEST_CASE(AnswersThatWereNotAskedForAreIgnored, fixture) {
--- a/src/flows/flow_balancer.cc
+++ b/src/flows/flow_balancer.cc
@@ -35,22 +35,21 @@
       .With("routes", routes->size());
   takes_up_held_ = takes_up_held_ || routes_->version() == 0;
   routes_ = std::move(routes);
-  searches_.OnListChanged(settled_);
+  searches_.OnListChanged();
   recorder_->Set(metric::kRoutesVersion, routes_->version());
 }
 
 void flow_balancer::OnUpstreams(const std::vector<known_upstream>& known) {
   upstreams_.OnUpstreams(known);
-  searches_.OnListChanged(settled_);
+  searches_.OnListChanged();
   recorder_->Set(metric::kKnownUpstreams, known.size());
 }
 
-void flow_balancer::OnSettled(bool settled) {
-  if (settled != settled_) {
-    settled_ = settled;
-    searches_.OnListChanged(settled);
-  }
-  recorder_->Set(metric::kUpstreamsSettled, settled ? 1 : 0);
+void flow_balancer::OnSettled(absl::Time as_of, absl::Time now) {
+  settled_as_of_ = as_of;
+  searches_.OnSettled(as_of, now);
+  recorder_->Set(metric::kUpstreamsSettled,
+                 as_of > absl::InfinitePast() ? 1 : 0);
 }
 
 void flow_balancer::OnCallerPacket(const flow_packet& packet,
@@ -330,7 +329,7 @@
       .With("taken", taken.size())
       .With("too_old", held_.size() - taken.size())
       .With("routes_version", routes_->version())
-      .With("settled", settled_);
+      .With("settled", settled_as_of_ > absl::InfinitePast());
   held_.clear();
   std::sort(taken.begin(), taken.end(),
             [](const held_packet& a, const held_packet& b) {
--- a/src/flows/flow_balancer.h
+++ b/src/flows/flow_balancer.h
@@ -62,8 +62,9 @@
   void OnRoutes(std::shared_ptr<const route_set> routes);
   void OnUpstreams(const std::vector<known_upstream>& known);
 
-  /// Whether the upstreams are all that there are.
-  void OnSettled(bool settled);
+  /// At this time the upstreams were all that there are; infinitely long ago
+  /// where some may be missing.
+  void OnSettled(absl::Time as_of, absl::Time now);
 
   /// A packet of a caller; `bytes` is all of it.
   void OnCallerPacket(const flow_packet& packet,
@@ -146,7 +147,7 @@
   flow_searches searches_;
   /// Filled anew for each packet, so that it keeps its memory.
   inner::flow_datagram datagram_;
-  bool settled_ = false;
+  absl::Time settled_as_of_ = absl::InfinitePast();
   absl::flat_hash_map<flow_id, held_packet> held_;
   /// More is known than when the held packets came.
   bool takes_up_held_ = false;
--- a/src/flows/flow_balancer_test.cc
+++ b/src/flows/flow_balancer_test.cc
@@ -81,7 +81,7 @@
   fixture() : balancer(&out, &measured) {
     balancer.OnRoutes(Routes(1, true));
     balancer.OnUpstreams({Upstream(1), Upstream(2), Upstream(3)});
-    balancer.OnSettled(true);
+    balancer.OnSettled(absl::InfiniteFuture(), kStart);
   }
 
   void Take(const flow_packet& packet, absl::Time now = kStart) {
@@ -254,14 +254,14 @@
 // The same, and the flow's upstream has ended: the caller waits no longer than
 // it takes to be sure of that.
 BOOST_FIXTURE_TEST_CASE(ASearchAsksUpstreamsThatAreHeardOfLater, fixture) {
-  balancer.OnSettled(false);
+  balancer.OnSettled(absl::InfinitePast(), kStart);
   balancer.OnUpstreams({Upstream(1)});
   Take(Data());
   BOOST_TEST(Asked().size() == 1U);
   Deny(Agent(1));
   BOOST_TEST(out.resets.empty());
   balancer.OnUpstreams({Upstream(1), Upstream(2)});
-  balancer.OnSettled(true);
+  balancer.OnSettled(absl::InfiniteFuture(), kStart);
   const absl::Time later = kStart + absl::Milliseconds(400);
   BOOST_TEST((Asked(later) == std::vector{Agent(2)}));
   BOOST_TEST(out.resets.empty());
@@ -364,7 +364,7 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(AFlowIsNotResetWhileTheListMayLackUpstreams, fixture) {
-  balancer.OnSettled(false);
+  balancer.OnSettled(absl::InfinitePast(), kStart);
   Take(Data());
   for (const ipv4_address& agent : Asked()) {
     Deny(agent);
@@ -372,6 +372,38 @@
   BOOST_TEST(out.resets.empty());
 }
 
+// Guards against the reset of a living flow whose upstream this balancer has
+// not heard of yet, and the one that opened it has.
+BOOST_FIXTURE_TEST_CASE(AFlowIsNotResetByAListThatIsOlderThanItsSearch,
+                        fixture) {
+  balancer.OnSettled(kStart - absl::Milliseconds(1), kStart);
+  Take(Data());
+  for (const ipv4_address& agent : Asked()) {
+    Deny(agent);
+  }
+  BOOST_TEST(out.resets.empty());
+  balancer.OnUpstreams({Upstream(1), Upstream(2), Upstream(3), Upstream(4)});
+  balancer.OnSettled(kStart, kStart);
+  BOOST_TEST((Asked() == std::vector{Agent(4)}));
+  BOOST_TEST(out.resets.empty());
+  Deny(Agent(4));
+  BOOST_TEST(out.resets.size() == 1U);
+}
+
+// The same, and there is no such upstream.
+BOOST_FIXTURE_TEST_CASE(AFlowThatAllDenyIsResetOnceTheListIsNewer, fixture) {
+  balancer.OnSettled(kStart - absl::Milliseconds(1), kStart);
+  Take(Data());
+  for (const ipv4_address& agent : Asked()) {
+    Deny(agent);
+  }
+  BOOST_TEST(Asked(kStart + absl::Milliseconds(50)).empty());
+  BOOST_TEST(out.resets.empty());
+  balancer.OnSettled(kStart, kStart);
+  balancer.Tick(kStart + absl::Milliseconds(100));
+  BOOST_TEST(out.resets.size() == 1U);
+}
+
 // The list changes while a search goes on; each agent is asked.
 BOOST_FIXTURE_TEST_CASE(ASearchAsksEveryAgentWhateverChangesMeanwhile,
                         fixture) {
--- a/src/flows/flow_searches.cc
+++ b/src/flows/flow_searches.cc
@@ -19,6 +19,8 @@
 // Heads of a datagram: IP, UDP and those of the message.
 constexpr size_t kDatagramHeadBytes = 44;
 
+bool IsSettled(absl::Time as_of) { return as_of > absl::InfinitePast(); }
+
 }  // namespace
 
 flow_searches::flow_searches(search_outlet* outlet, metric_recorder* recorder)
@@ -164,12 +166,29 @@
   outlet_->OnPresumptionDenied(flow);
 }
 
-void flow_searches::OnListChanged(bool is_settled) {
-  is_settled_ = is_settled;
+void flow_searches::OnListChanged() {
   ++list_version_;
   all_due_ = true;
 }
 
+void flow_searches::OnSettled(absl::Time as_of, absl::Time now) {
+  if (as_of == settled_as_of_) {
+    return;
+  }
+  if (IsSettled(as_of) != IsSettled(settled_as_of_)) {
+    OnListChanged();
+  }
+  settled_as_of_ = as_of;
+  for (const flow_id& flow : std::exchange(awaiting_list_, {})) {
+    const auto found = searches_.find(flow);
+    if (found != searches_.end()) {
+      found->second.awaits_list = false;
+      found->second.due = now;
+      next_ = now;
+    }
+  }
+}
+
 void flow_searches::Step(const flow_id& flow, absl::Time now) {
   const auto found = searches_.find(flow);
   if (found == searches_.end() || found->second.presumed != ipv4_address()) {
@@ -183,7 +202,8 @@
   }
   if (search.list_version != list_version_) {
     search.list_version = list_version_;
-    search.holder.OnCandidates(outlet_->CandidatesFor(flow, now), is_settled_);
+    search.holder.OnCandidates(outlet_->CandidatesFor(flow, now),
+                               IsSettled(settled_as_of_));
   }
   const search_step step = search.holder.Next(!search.packets.empty(), now);
   for (const ipv4_address& agent : step.unanswered) {
@@ -200,10 +220,14 @@
     Conclude(flow, step.presumed, false, now);
     return;
   }
-  if (step.is_nowhere && is_settled_) {
+  // A flow may be at an upstream that other balancers heard of before.
+  if (step.is_nowhere && settled_as_of_ >= search.holder.began_at()) {
     EndNowhere(flow, now);
     return;
   }
+  if (step.is_nowhere && !std::exchange(search.awaits_list, true)) {
+    awaiting_list_.push_back(flow);
+  }
   if (search.holder.WaitsForSilent() &&
       !std::exchange(search.has_waited, true)) {
     log_line(log_level::kInfo, "flow_search_waits")
--- a/src/flows/flow_searches.h
+++ b/src/flows/flow_searches.h
@@ -79,9 +79,12 @@
   void Confirm(const flow_id& flow, const ipv4_address& presumed,
                absl::Time now);
 
-  /// Other upstreams or routes are known. `is_settled`: the upstreams are all
-  /// that there are.
-  void OnListChanged(bool is_settled);
+  /// Other upstreams or routes are known.
+  void OnListChanged();
+
+  /// At this time the upstreams were all that there are; infinitely long ago
+  /// where some may be missing.
+  void OnSettled(absl::Time as_of, absl::Time now);
 
   /// Goes on with what is due, and sends the queries of this round.
   void Tick(absl::Time now);
@@ -101,6 +104,8 @@
     uint64_t list_version = 0;
     /// Names of the flow and packets.
     size_t bytes_sent = 0;
+    /// All agents that are known deny its flow, and more may be.
+    bool awaits_list = false;
     /// It has waited for silent agents.
     bool has_waited = false;
     /// When it goes on by itself.
@@ -138,7 +143,9 @@
   search_map searches_;
   byte_budget budget_{kSearchBytesPerSecond, kSearchBurstBytes};
   size_t held_packets_ = 0;
-  bool is_settled_ = false;
+  absl::Time settled_as_of_ = absl::InfinitePast();
+  /// Flows whose searches await a newer list of upstreams.
+  std::vector<flow_id> awaiting_list_;
   /// Queries of this round.
   absl::btree_map<ipv4_address, inner::holder_query> queries_;
   uint64_t list_version_ = 1;
--- a/src/flows/flow_world_test_support.cc
+++ b/src/flows/flow_world_test_support.cc
@@ -221,7 +221,7 @@
   for (const auto& balancer : balancers_) {
     if (balancer != nullptr) {
       balancer->core.OnUpstreams(known);
-      balancer->core.OnSettled(true);
+      balancer->core.OnSettled(absl::InfiniteFuture(), now_);
     }
   }
 }
--- a/src/load/measure_packets_main.cc
+++ b/src/load/measure_packets_main.cc
@@ -133,8 +133,8 @@
   flow_balancer balancer(&outlet, &measured);
   balancer.OnRoutes(Routes());
   balancer.OnUpstreams(Upstreams());
-  balancer.OnSettled(true);
   const absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+  balancer.OnSettled(now, now);
   hop_figures figures;
   inner::flow_notice notice;
   notice.set_host_ip(kHost.ip);
