One lifetime of held packets, one lookup of candidates

The time for which a packet that opens no flow waits stood twice, in flow_balancer.h and flow_searches.h, and holder_search had its lookup of an agent twice.

Cause: the search was taken out of the balancer and brought a copy along. Both are one now.

--- a/src/flows/flow_balancer.h
+++ b/src/flows/flow_balancer.h
@@ -42,9 +42,6 @@
 /// sends the last copy of it after 0.6 s and gives up after 1.4 s.
 inline constexpr absl::Duration kHeldOpeningLife = absl::Milliseconds(800);
 
-/// The same for other packets. A caller repeats them within 1.6 s.
-inline constexpr absl::Duration kHeldPacketLife = absl::Milliseconds(1600);
-
 /// Packets that wait for routes at most, one a flow.
 inline constexpr size_t kMaxHeldPackets = 512;
 
--- a/src/flows/flow_searches.cc
+++ b/src/flows/flow_searches.cc
@@ -86,7 +86,7 @@
   if (search.list_version != list_version_ || search.holder.CanGoOn() ||
       now >= due) {
     Step(flow, now);
-  } else if (now < search.last_at + kSearchedPacketLife) {
+  } else if (now < search.last_at + kHeldPacketLife) {
     search.due = due;
     next_ = std::min(next_, due);
   }
@@ -237,7 +237,7 @@
         .With("silent", search.holder.silent())
         .With("tries", search.holder.tries());
   }
-  const bool goes_on = now < search.last_at + kSearchedPacketLife;
+  const bool goes_on = now < search.last_at + kHeldPacketLife;
   search.due = goes_on ? search.holder.NextDeadline() : absl::InfiniteFuture();
   next_ = std::min(next_, search.due);
 }
@@ -343,7 +343,7 @@
   const auto kept =
       std::remove_if(search->packets.begin(), search->packets.end(),
                      [now](const held_packet& packet) {
-                       return now >= packet.came_at + kSearchedPacketLife;
+                       return now >= packet.came_at + kHeldPacketLife;
                      });
   held_packets_ -= static_cast<size_t>(search->packets.end() - kept);
   search->packets.erase(kept, search->packets.end());
@@ -373,7 +373,7 @@
   next_ = absl::InfiniteFuture();
   for (const auto& [flow, search] : searches_) {
     const absl::Time due = std::min(search.due, search.confirm_by);
-    const bool goes_on = now < search.last_at + kSearchedPacketLife;
+    const bool goes_on = now < search.last_at + kHeldPacketLife;
     if (now >= due || (all_due_ && goes_on)) {
       flows.push_back(flow);
     } else {
--- a/src/flows/flow_searches.h
+++ b/src/flows/flow_searches.h
@@ -30,12 +30,8 @@
 inline constexpr size_t kMaxSearchedPackets = 512;
 inline constexpr size_t kPacketsPerSearch = 4;
 
-/// How long a packet waits for the end of a search, and a search goes on by
-/// itself. A caller repeats a packet within 1.6 s.
-inline constexpr absl::Duration kSearchedPacketLife = absl::Milliseconds(1600);
-
 /// How long a search is remembered after its caller's last packet, so that it
-/// is not made again.
+/// is not made again. It goes on by itself for kHeldPacketLife.
 inline constexpr absl::Duration kSearchLife = absl::Seconds(5);
 
 /// Flows that one query names, so that the answer fits a datagram of 1280
--- a/src/flows/held_packet.h
+++ b/src/flows/held_packet.h
@@ -9,6 +9,10 @@
 
 namespace cardamomroute {
 
+/// How long a packet waits that opens no flow. A caller repeats it within 1.6
+/// s.
+inline constexpr absl::Duration kHeldPacketLife = absl::Milliseconds(1600);
+
 /// A caller's packet that waits until it is known where it goes.
 struct held_packet {
   flow_packet head;
--- a/src/flows/holder_search.cc
+++ b/src/flows/holder_search.cc
@@ -21,13 +21,18 @@
   agents_ = std::move(next);
 }
 
-holder_search::asked_agent* holder_search::Find(const ipv4_address& agent) {
+const holder_search::asked_agent* holder_search::Find(
+    const ipv4_address& agent) const {
   const auto found = std::find_if(
       agents_.begin(), agents_.end(),
       [&](const asked_agent& asked) { return asked.candidate.agent == agent; });
   return found != agents_.end() ? &*found : nullptr;
 }
 
+holder_search::asked_agent* holder_search::Find(const ipv4_address& agent) {
+  return const_cast<asked_agent*>(std::as_const(*this).Find(agent));
+}
+
 void holder_search::Set(asked_agent* asked, claim said) {
   --counts_.at(static_cast<size_t>(asked->said));
   ++counts_.at(static_cast<size_t>(said));
@@ -46,10 +51,8 @@
 }
 
 absl::Time holder_search::TriedAt(const ipv4_address& agent) const {
-  const auto found = std::find_if(
-      agents_.begin(), agents_.end(),
-      [&](const asked_agent& asked) { return asked.candidate.agent == agent; });
-  return found != agents_.end() ? found->tried_at : absl::InfinitePast();
+  const asked_agent* asked = Find(agent);
+  return asked != nullptr ? asked->tried_at : absl::InfinitePast();
 }
 
 void holder_search::OnPacket() {
--- a/src/flows/holder_search.h
+++ b/src/flows/holder_search.h
@@ -111,6 +111,8 @@
     absl::Time tried_at = absl::InfinitePast();
   };
 
+  /// Null where it is no candidate.
+  const asked_agent* Find(const ipv4_address& agent) const;
   asked_agent* Find(const ipv4_address& agent);
   void Note(const ipv4_address& agent, claim said);
   void Set(asked_agent* asked, claim said);
