Agents await a later view before they redirect by their own

What callers could see: no answer to a packet until they repeat it.

Cause: the sender's view names this target, not the holder that it knows. Now only flows that are held or being handed over here go on at once; a redirect is taken where the wait for the view is over, instead of a refusal.

--- a/src/routing/flow_core.cc
+++ b/src/routing/flow_core.cc
@@ -89,7 +89,7 @@
   }
   if (item.header.view_version > view_version_) {
     PullNow(item.header.view_version, now, actions);
-    if (!TryKnown(&item, now, actions)) {
+    if (!TryOwn(&item, actions)) {
       AwaitView(&item, now, actions);
     }
     return;
@@ -125,13 +125,12 @@
   FindHolder(item, now, actions);
 }
 
-// A later view changes nothing for a flow whose holder is known: the one who
-// sent this packet has this target in that view.
-bool flow_core::TryKnown(packet* item, absl::Time now, flow_actions* actions) {
+// A later view changes nothing for a flow that is here: the one who sent this
+// packet has this target in that view.
+bool flow_core::TryOwn(packet* item, flow_actions* actions) {
   return item->header.kind == packet_kind::kFromCaller &&
          item->header.receiver == own_id_ && IsMember() &&
-         (TryHeld(item, actions) || TryOutgoing(item, actions) ||
-          TryRedirect(item, now, actions));
+         (TryHeld(item, actions) || TryOutgoing(item, actions));
 }
 
 bool flow_core::TryHeld(packet* item, flow_actions* actions) {
--- a/src/routing/flow_core.h
+++ b/src/routing/flow_core.h
@@ -114,7 +114,7 @@
   void OnPacketOfOthers(packet* item, flow_actions* actions);
 
   // Decisions about one caller's packet.
-  bool TryKnown(packet* item, absl::Time now, flow_actions* actions);
+  bool TryOwn(packet* item, flow_actions* actions);
   bool TryHeld(packet* item, flow_actions* actions);
   bool TryOutgoing(packet* item, flow_actions* actions);
   bool TryRedirect(packet* item, absl::Time now, flow_actions* actions);
@@ -185,6 +185,7 @@
   void ForgetToldHomes();
   void ConfirmOwn(absl::Time now, flow_actions* actions);
   void AwaitView(packet* item, absl::Time now, flow_actions* actions);
+  void GoOnWithoutView(packet* item, absl::Time now, flow_actions* actions);
   void ReplayAwaiting(absl::Time now, flow_actions* actions);
   void PullNow(uint64_t version, absl::Time now, flow_actions* actions);
   void UpdateRedirects(absl::Time now);
--- a/src/routing/flow_core_upkeep.cc
+++ b/src/routing/flow_core_upkeep.cc
@@ -146,7 +146,7 @@
   while (!awaiting_view_.empty() && now >= awaiting_view_.front().deadline) {
     packet item = std::move(awaiting_view_.front().item);
     awaiting_view_.pop_front();
-    Refuse(&item, error_kind::kStaleView, flow_reason::kAwaitsView, actions);
+    GoOnWithoutView(&item, now, actions);
   }
   if (!awaiting_view_.empty()) {
     PullNow(awaiting_view_.front().item.header.view_version, now, actions);
@@ -165,6 +165,18 @@
   ExportFlows(actions);
 }
 
+// The one who holds the flow knows more than a refusal would say, but may be
+// gone in the later view: not before the wait is over.
+void flow_core::GoOnWithoutView(packet* item, absl::Time now,
+                                flow_actions* actions) {
+  const bool is_known =
+      TryOwn(item, actions) || (item->header.kind == packet_kind::kFromCaller &&
+                                IsMember() && TryRedirect(item, now, actions));
+  if (!is_known) {
+    Refuse(item, error_kind::kStaleView, flow_reason::kAwaitsView, actions);
+  }
+}
+
 void flow_core::ReplayAwaiting(absl::Time now, flow_actions* actions) {
   std::deque<awaiting_packet> waiting = std::exchange(awaiting_view_, {});
   for (awaiting_packet& entry : waiting) {
--- a/src/routing/flow_peers_test.cc
+++ b/src/routing/flow_peers_test.cc
@@ -29,6 +29,19 @@
     core_.OnCurrentVersion(2, now_);
   }
 
+  flow_actions ShowWithoutPeer() {
+    flow_actions actions = ShowView(2, 1, {kOwn, kOtherPeer});
+    core_.OnCurrentVersion(2, now_);
+    return actions;
+  }
+
+  flow_actions TickAfter(absl::Duration wait) {
+    now_ += wait;
+    flow_actions actions;
+    core_.OnTick(now_, &actions);
+    return actions;
+  }
+
   /// A caller whose home is `home` in version 1, and `next` in version 2.
   endpoint CallerOf(target_id home, target_id next) const {
     const auto routes_of = [](const std::vector<target_id>& ids) {
@@ -76,8 +89,8 @@
   }
 
  private:
-  void ShowView(uint64_t version, uint64_t previous_epoch,
-                const std::vector<target_id>& ids) {
+  flow_actions ShowView(uint64_t version, uint64_t previous_epoch,
+                        const std::vector<target_id>& ids) {
     view current;
     current.version = version;
     service item;
@@ -94,6 +107,7 @@
     }
     flow_actions actions;
     core_.OnView(current, now_, &actions);
+    return actions;
   }
 
   absl::Time now_ = absl::FromUnixSeconds(1'800'000'000);
@@ -145,17 +159,34 @@
   BOOST_TEST(FindKind(actions, flow_action_kind::kPullNow) != nullptr);
 }
 
-// The same at the flow's home.
-BOOST_FIXTURE_TEST_CASE(redirects_flows_while_its_view_is_behind,
-                        peer_fixture) {
+// The same at the flow's home, which waits before: the holder may be gone in
+// the later view.
+BOOST_FIXTURE_TEST_CASE(redirects_flows_rather_than_refuse_them, peer_fixture) {
   const endpoint caller = CallerOf(kOwn, kOwn);
   ReceiveRegister(caller, kPeer, 100);
   packet_header header = Header(packet_kind::kFromCaller, caller, 0);
   header.view_version = 2;
-  const flow_actions actions = Receive(header);
-  BOOST_REQUIRE(FindMessage(actions, packet_kind::kFromCaller) != nullptr);
-  BOOST_TEST(FindMessage(actions, packet_kind::kFromCaller)->to == kPeer);
-  BOOST_TEST(FindKind(actions, flow_action_kind::kPullNow) != nullptr);
+  const flow_actions at_once = Receive(header);
+  BOOST_TEST(FindMessage(at_once, packet_kind::kFromCaller) == nullptr);
+  BOOST_TEST(FindKind(at_once, flow_action_kind::kPullNow) != nullptr);
+  const flow_actions later = TickAfter(absl::Seconds(1));
+  BOOST_REQUIRE(FindMessage(later, packet_kind::kFromCaller) != nullptr);
+  BOOST_TEST(FindMessage(later, packet_kind::kFromCaller)->to == kPeer);
+  BOOST_TEST(FindKind(later, flow_action_kind::kRefuse) == nullptr);
+}
+
+// Guards against packets that are sent to a holder that is gone in the view of
+// their balancer, while it is known a moment later where they go.
+BOOST_FIXTURE_TEST_CASE(awaits_the_view_before_it_redirects, peer_fixture) {
+  const endpoint caller = CallerOf(kOwn, kOwn);
+  ReceiveRegister(caller, kPeer, 100);
+  packet_header header = Header(packet_kind::kFromCaller, caller, 0);
+  header.view_version = 2;
+  const flow_actions at_once = Receive(header);
+  BOOST_TEST(FindMessage(at_once, packet_kind::kFromCaller) == nullptr);
+  const flow_actions later = ShowWithoutPeer();
+  BOOST_TEST(FindMessage(later, packet_kind::kFromCaller) == nullptr);
+  BOOST_TEST(FindKind(later, flow_action_kind::kRefuse) == nullptr);
 }
 
 BOOST_FIXTURE_TEST_CASE(places_no_flow_while_its_view_is_behind, peer_fixture) {
--- a/src/routing/flow_world_actions_test_support.cc
+++ b/src/routing/flow_world_actions_test_support.cc
@@ -84,16 +84,22 @@
   Transmit(action.agent, action.header, action.payload);
 }
 
+bool flow_world::HadLeftWhenSent(uint64_t serial, target_id id) const {
+  const auto left = left_in_.find(id);
+  return left != left_in_.end() && left->second <= sent_under_.at(serial);
+}
+
 void flow_world::OnDeliver(agent* at, const flow_action& action) {
   const packet_header& header = action.header;
   const uint64_t serial = FromPayload(action.payload).at(0);
   decided_[serial] = true;
   ++counts_.delivered;
   // Under a later view than its own a target goes on with flows that it holds
-  // where the sender's view has it; it takes none.
+  // where the balancer's view has it; it takes none.
   const bool is_behind = header.view_version > at->core->view_version();
   const bool goes_on = !action.is_new && header.receiver == at->id;
-  if (header.flow.service != at->service || (is_behind && !goes_on)) {
+  if (header.flow.service != at->service || (is_behind && !goes_on) ||
+      HadLeftWhenSent(serial, at->id)) {
     ++counts_.misdelivered;
   }
   truths_.OnDeliver(header.flow, at->id, action.is_new, serial,
--- a/src/routing/flow_world_test_support.cc
+++ b/src/routing/flow_world_test_support.cc
@@ -57,6 +57,11 @@
 void flow_world::Publish(view next) {
   next.version = views_.back().version + 1;
   StampChanges(views_.back(), &next);
+  for (const target& before : views_.back().targets) {
+    if (next.FindTarget(before.id) == nullptr) {
+      left_in_[before.id] = next.version;
+    }
+  }
   views_.push_back(std::move(next));
 }
 
@@ -206,6 +211,7 @@
   const balancer_decision decision =
       balancers_[index].core->OnPacket(address, ServiceAddress(service), now());
   if (decision.verdict == balancer_verdict::kForward) {
+    sent_under_[serial] = decision.header.view_version;
     Transmit(decision.agent, decision.header, ToPayload({serial}));
     return;
   }
--- a/src/routing/flow_world_test_support.h
+++ b/src/routing/flow_world_test_support.h
@@ -102,6 +102,9 @@
   void OnExport(agent* at, const flow_action& action);
   void OnImport(agent* at, const flow_action& action);
   void OnAbandon(agent* at, const flow_action& action);
+  /// The balancer's view, when it sent the packet, had this target no more.
+  bool HadLeftWhenSent(uint64_t serial, target_id id) const;
+
   void OnSend(agent* from, const flow_action& action);
   agent* FindAgent(target_id id);
 
@@ -116,6 +119,10 @@
   absl::btree_map<flow_key, bool> known_flows_;
   uint64_t last_serial_ = 0;
   absl::btree_map<uint64_t, bool> decided_;
+  /// Versions of the balancer's view, by serial, and of the first view that
+  /// lacks a target.
+  absl::btree_map<uint64_t, uint64_t> sent_under_;
+  absl::btree_map<target_id, uint64_t> left_in_;
   world_counts counts_;
   flow_truths truths_{&counts_};
 };
