A list of upstreams is as new as the oldest answer of a member that counts

What callers could see: an open flow reset by a balancer that had not heard of its upstream (FLOW).

Cause: an announcement may reach one member of the control group only, or one sooner. The balancer that opened the flow had heard of the upstream from that one; another member's answer, without it, made the list of a second balancer count as newer than its search, and all agents that it knew denied the flow. Now each member that counts must have been asked since.

What remains: where the only member that a balancer hears has missed the announcement, the fault stays.

--- a/src/directory/directory_follower.cc
+++ b/src/directory/directory_follower.cc
@@ -167,16 +167,16 @@
 absl::Time directory_follower::SettledAsOf() const {
   size_t tellers = 0;
   bool is_settled = false;
-  absl::Time newest = absl::InfinitePast();
+  absl::Time oldest = absl::InfiniteFuture();
   for (const auto& [address, teller] : members_) {
     if (!teller.answers || !teller.listed || teller.age < kSettledAgeOfTwo) {
       continue;
     }
     ++tellers;
     is_settled = is_settled || tellers >= 2 || teller.age >= kSettledAge;
-    newest = std::max(newest, teller.answer_asked_at);
+    oldest = std::min(oldest, teller.answer_asked_at);
   }
-  return is_settled ? newest : absl::InfinitePast();
+  return is_settled ? oldest : absl::InfinitePast();
 }
 
 const followed_routes* directory_follower::TakeNewRoutes() {
--- a/src/directory/directory_follower.h
+++ b/src/directory/directory_follower.h
@@ -89,9 +89,9 @@
   /// True once it knows routes and a member's whole list of upstreams.
   bool IsComplete() const { return routes_.version != 0 && has_list_; }
 
-  /// The list of upstreams lacks none whose agent went on at that time: when
-  /// the newest answer that says so was asked for. Infinitely long ago where
-  /// there is none.
+  /// The list of upstreams lacks none whose agent went on at that time: each
+  /// member that answers has been asked since, as an announcement may have
+  /// reached one of them only. Infinitely long ago where none may say so.
   absl::Time SettledAsOf() const;
 
   uint64_t routes_version() const { return routes_.version; }
--- a/src/directory/directory_test.cc
+++ b/src/directory/directory_test.cc
@@ -271,6 +271,35 @@
   BOOST_TEST(!IsSettled());
 }
 
+// The same where an announcement has reached one member only, whose answers
+// take longer.
+BOOST_FIXTURE_TEST_CASE(AListIsNotSettledBeforeEachMemberHasAnswered, fixture) {
+  constexpr absl::Duration kDelay = absl::Milliseconds(100);
+  members.emplace(kOtherMember, node_directory(3, now));
+  Run(absl::Seconds(3));
+  const absl::Time began = now;
+  Announce(kOtherMember, Announced(9, 1, 1, upstream_state::kServing));
+  std::deque<std::pair<absl::Time, inner::directory_page>> late;
+  while (follower.SettledAsOf() < began) {
+    for (const due_poll& due : follower.Due(now)) {
+      const inner::directory_page page =
+          members.at(due.to).OnPoll(due.poll, in_force, now);
+      if (due.to == kOtherMember) {
+        late.emplace_back(now + kDelay, page);
+      } else {
+        follower.OnPage(due.to, page, now);
+      }
+    }
+    while (!late.empty() && now >= late.front().first) {
+      follower.OnPage(kOtherMember, late.front().second, now);
+      late.pop_front();
+    }
+    now += absl::Milliseconds(10);
+    BOOST_REQUIRE(now < began + absl::Seconds(2));
+  }
+  BOOST_TEST(Known().size() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(AnswersThatWereNotAskedForAreIgnored, fixture) {
   inner::directory_page page;
   page.set_configuration_version(99);
--- a/src/flows/flow_balancer_test.cc
+++ b/src/flows/flow_balancer_test.cc
@@ -404,6 +404,19 @@
   BOOST_TEST(out.resets.size() == 1U);
 }
 
+// Guards against the reset of a flow that its caller has opened anew meanwhile.
+BOOST_FIXTURE_TEST_CASE(AListThatIsNewerTooLateResetsNothing, fixture) {
+  balancer.OnSettled(kStart - absl::Milliseconds(1), kStart);
+  Take(Data());
+  for (const ipv4_address& agent : Asked()) {
+    Deny(agent);
+  }
+  const absl::Time later = kStart + kHeldPacketLife;
+  balancer.OnSettled(later, later);
+  balancer.Tick(later);
+  BOOST_TEST(out.resets.empty());
+}
+
 // The list changes while a search goes on; each agent is asked.
 BOOST_FIXTURE_TEST_CASE(ASearchAsksEveryAgentWhateverChangesMeanwhile,
                         fixture) {
--- a/src/flows/flow_searches.cc
+++ b/src/flows/flow_searches.cc
@@ -179,11 +179,10 @@
     OnListChanged();
   }
   settled_as_of_ = as_of;
-  for (const flow_id& flow : std::exchange(awaiting_list_, {})) {
-    const auto found = searches_.find(flow);
-    if (found != searches_.end()) {
-      found->second.awaits_list = false;
-      found->second.due = now;
+  for (auto& [flow, search] : searches_) {
+    const bool goes_on = now < search.last_at + kHeldPacketLife;
+    if (std::exchange(search.awaits_list, false) && goes_on) {
+      search.due = now;
       next_ = now;
     }
   }
@@ -225,9 +224,7 @@
     EndNowhere(flow, now);
     return;
   }
-  if (step.is_nowhere && !std::exchange(search.awaits_list, true)) {
-    awaiting_list_.push_back(flow);
-  }
+  search.awaits_list = step.is_nowhere;
   if (search.holder.WaitsForSilent() &&
       !std::exchange(search.has_waited, true)) {
     log_line(log_level::kInfo, "flow_search_waits")
--- a/src/flows/flow_searches.h
+++ b/src/flows/flow_searches.h
@@ -140,8 +140,6 @@
   byte_budget budget_{kSearchBytesPerSecond, kSearchBurstBytes};
   size_t held_packets_ = 0;
   absl::Time settled_as_of_ = absl::InfinitePast();
-  /// Flows whose searches await a newer list of upstreams.
-  std::vector<flow_id> awaiting_list_;
   /// Queries of this round.
   absl::btree_map<ipv4_address, inner::holder_query> queries_;
   uint64_t list_version_ = 1;
