--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -3,8 +3,9 @@
 #
 # One folder of src/ as a static library, and each x_test.cc beside it as a
 # test program of its own; with ONE_TEST all of them as one program, NAME/tests,
-# which is built sooner, but for those named as SEPARATE. Tests of one folder may share helpers named
-# *_test_support.cc, which are linked into each of its test programs.
+# which is built sooner, but for those named as SEPARATE. Tests of one folder may
+# share helpers named *_test_support.cc, which are linked into each of its test
+# programs.
 
 # Fixed, so that a run of the tests always gives the same verdict.
 set(CARDAMOMROUTE_PROPERTY_PARAMETERS "seed=20261203 max_success=150")
--- a/src/flows/flow_balancer.cc
+++ b/src/flows/flow_balancer.cc
@@ -46,10 +46,8 @@
 }
 
 void flow_balancer::OnSettled(absl::Time as_of, absl::Time now) {
-  settled_as_of_ = as_of;
   searches_.OnSettled(as_of, now);
-  recorder_->Set(metric::kUpstreamsSettled,
-                 as_of > absl::InfinitePast() ? 1 : 0);
+  recorder_->Set(metric::kUpstreamsSettled, searches_.IsSettled() ? 1 : 0);
 }
 
 void flow_balancer::OnCallerPacket(const flow_packet& packet,
@@ -329,7 +327,7 @@
       .With("taken", taken.size())
       .With("too_old", held_.size() - taken.size())
       .With("routes_version", routes_->version())
-      .With("settled", settled_as_of_ > absl::InfinitePast());
+      .With("settled", searches_.IsSettled());
   held_.clear();
   std::sort(taken.begin(), taken.end(),
             [](const held_packet& a, const held_packet& b) {
--- a/src/flows/flow_balancer.h
+++ b/src/flows/flow_balancer.h
@@ -144,7 +144,6 @@
   flow_searches searches_;
   /// Filled anew for each packet, so that it keeps its memory.
   inner::flow_datagram datagram_;
-  absl::Time settled_as_of_ = absl::InfinitePast();
   absl::flat_hash_map<flow_id, held_packet> held_;
   /// More is known than when the held packets came.
   bool takes_up_held_ = false;
--- a/src/flows/flow_balancer_test.cc
+++ b/src/flows/flow_balancer_test.cc
@@ -93,6 +93,13 @@
   }
   const ipv4_address& LastAgent() const { return out.sent.back().first; }
 
+  /// All that are asked in this round deny the flow.
+  void DenyAll() {
+    for (const ipv4_address& agent : Asked()) {
+      Deny(agent);
+    }
+  }
+
   /// Ends a round of packets; the agents that were asked for flows in it.
   std::vector<ipv4_address> Asked(absl::Time now = kStart) {
     balancer.Tick(now);
@@ -216,9 +223,7 @@
   BOOST_TEST(Measured("openings_refused_no_route") == 1U);
   BOOST_TEST(Measured("flows_reset") == out.resets.size());
   Take(Data());
-  for (const ipv4_address& agent : Asked()) {
-    Deny(agent);
-  }
+  DenyAll();
   BOOST_TEST(Measured("flows_searched") == 3U);
   BOOST_TEST(Measured("flows_not_found") == 1U);
 }
@@ -366,9 +371,7 @@
 BOOST_FIXTURE_TEST_CASE(AFlowIsNotResetWhileTheListMayLackUpstreams, fixture) {
   balancer.OnSettled(absl::InfinitePast(), kStart);
   Take(Data());
-  for (const ipv4_address& agent : Asked()) {
-    Deny(agent);
-  }
+  DenyAll();
   BOOST_TEST(out.resets.empty());
 }
 
@@ -378,9 +381,7 @@
                         fixture) {
   balancer.OnSettled(kStart - absl::Milliseconds(1), kStart);
   Take(Data());
-  for (const ipv4_address& agent : Asked()) {
-    Deny(agent);
-  }
+  DenyAll();
   BOOST_TEST(out.resets.empty());
   balancer.OnUpstreams({Upstream(1), Upstream(2), Upstream(3), Upstream(4)});
   balancer.OnSettled(kStart, kStart);
@@ -394,9 +395,7 @@
 BOOST_FIXTURE_TEST_CASE(AFlowThatAllDenyIsResetOnceTheListIsNewer, fixture) {
   balancer.OnSettled(kStart - absl::Milliseconds(1), kStart);
   Take(Data());
-  for (const ipv4_address& agent : Asked()) {
-    Deny(agent);
-  }
+  DenyAll();
   BOOST_TEST(Asked(kStart + absl::Milliseconds(50)).empty());
   BOOST_TEST(out.resets.empty());
   balancer.OnSettled(kStart, kStart);
@@ -408,9 +407,7 @@
 BOOST_FIXTURE_TEST_CASE(AListThatIsNewerTooLateResetsNothing, fixture) {
   balancer.OnSettled(kStart - absl::Milliseconds(1), kStart);
   Take(Data());
-  for (const ipv4_address& agent : Asked()) {
-    Deny(agent);
-  }
+  DenyAll();
   const absl::Time later = kStart + kHeldPacketLife;
   balancer.OnSettled(later, later);
   balancer.Tick(later);
--- a/src/flows/flow_searches.cc
+++ b/src/flows/flow_searches.cc
@@ -19,8 +19,6 @@
 // Heads of a datagram: IP, UDP and those of the message.
 constexpr size_t kDatagramHeadBytes = 44;
 
-bool IsSettled(absl::Time as_of) { return as_of > absl::InfinitePast(); }
-
 }  // namespace
 
 flow_searches::flow_searches(search_outlet* outlet, metric_recorder* recorder)
@@ -86,7 +84,7 @@
   if (search.list_version != list_version_ || search.holder.CanGoOn() ||
       now >= due) {
     Step(flow, now);
-  } else if (now < search.last_at + kHeldPacketLife) {
+  } else if (search.GoesOn(now)) {
     search.due = due;
     next_ = std::min(next_, due);
   }
@@ -175,13 +173,13 @@
   if (as_of == settled_as_of_) {
     return;
   }
-  if (IsSettled(as_of) != IsSettled(settled_as_of_)) {
+  const bool was_settled = IsSettled();
+  settled_as_of_ = as_of;
+  if (IsSettled() != was_settled) {
     OnListChanged();
   }
-  settled_as_of_ = as_of;
   for (auto& [flow, search] : searches_) {
-    const bool goes_on = now < search.last_at + kHeldPacketLife;
-    if (std::exchange(search.awaits_list, false) && goes_on) {
+    if (std::exchange(search.awaits_list, false) && search.GoesOn(now)) {
       search.due = now;
       next_ = now;
     }
@@ -201,8 +199,7 @@
   }
   if (search.list_version != list_version_) {
     search.list_version = list_version_;
-    search.holder.OnCandidates(outlet_->CandidatesFor(flow, now),
-                               IsSettled(settled_as_of_));
+    search.holder.OnCandidates(outlet_->CandidatesFor(flow, now), IsSettled());
   }
   const search_step step = search.holder.Next(!search.packets.empty(), now);
   for (const ipv4_address& agent : step.unanswered) {
@@ -234,8 +231,8 @@
         .With("silent", search.holder.silent())
         .With("tries", search.holder.tries());
   }
-  const bool goes_on = now < search.last_at + kHeldPacketLife;
-  search.due = goes_on ? search.holder.NextDeadline() : absl::InfiniteFuture();
+  search.due = search.GoesOn(now) ? search.holder.NextDeadline()
+                                  : absl::InfiniteFuture();
   next_ = std::min(next_, search.due);
 }
 
@@ -370,8 +367,7 @@
   next_ = absl::InfiniteFuture();
   for (const auto& [flow, search] : searches_) {
     const absl::Time due = std::min(search.due, search.confirm_by);
-    const bool goes_on = now < search.last_at + kHeldPacketLife;
-    if (now >= due || (all_due_ && goes_on)) {
+    if (now >= due || (all_due_ && search.GoesOn(now))) {
       flows.push_back(flow);
     } else {
       next_ = std::min(next_, due);
--- a/src/flows/flow_searches.h
+++ b/src/flows/flow_searches.h
@@ -81,6 +81,7 @@
   /// At this time the upstreams were all that there are; infinitely long ago
   /// where some may be missing.
   void OnSettled(absl::Time as_of, absl::Time now);
+  bool IsSettled() const { return settled_as_of_ > absl::InfinitePast(); }
 
   /// Goes on with what is due, and sends the queries of this round.
   void Tick(absl::Time now);
@@ -92,6 +93,11 @@
   struct flow_search {
     explicit flow_search(absl::Time now) : holder(now) {}
 
+    /// By itself, without a further packet.
+    bool GoesOn(absl::Time now) const {
+      return now < last_at + kHeldPacketLife;
+    }
+
     holder_search holder;
     std::vector<held_packet> packets;
     flow_packet last;
--- a/src/flows/held_packet.h
+++ b/src/flows/held_packet.h
@@ -9,8 +9,7 @@
 
 namespace cardamomroute {
 
-/// How long a packet waits that opens no flow. A caller repeats it within 1.6
-/// s.
+/// How long a packet that opens no flow waits. Callers repeat it before that.
 inline constexpr absl::Duration kHeldPacketLife = absl::Milliseconds(1600);
 
 /// A caller's packet that waits until it is known where it goes.
--- a/src/load/caller_fleet.cc
+++ b/src/load/caller_fleet.cc
@@ -209,7 +209,7 @@
         },
         kept);
   }
-  caller->sent_at = absl::Now();
+  caller->sent_at = now;
   caller->give_up_at = now + absl::Seconds(plan_.patience_seconds);
   coap_send(caller->session, pdu);
 }
@@ -297,8 +297,9 @@
 
 void caller_fleet::Finish(caller_session* caller, outcome value,
                           const coap_pdu_t* received) {
+  const absl::Time ended_at = absl::Now();
   ended_request ended{caller->request_id, LocalAddress(caller->session),
-                      caller->sent_at, absl::Now()};
+                      ended_at - (SteadyNow() - caller->sent_at), ended_at};
   if (received != nullptr) {
     ended.code = CodeOf(received);
     ended.has_token = TokenOf(received) == caller->token;
--- a/src/load/caller_fleet.h
+++ b/src/load/caller_fleet.h
@@ -45,7 +45,6 @@
     std::string token;
     /// Requests of this session that have ended.
     std::set<std::string> past_ids;
-    /// Wall-clock time, as in logs.
     absl::Time sent_at = absl::InfinitePast();
     absl::Time give_up_at = absl::InfiniteFuture();
     absl::Time last_notification = absl::InfinitePast();
--- a/src/load/caller_fleet_test.cc
+++ b/src/load/caller_fleet_test.cc
@@ -20,20 +20,13 @@
 
 constexpr int kPollMs = 10;
 
-endpoint Loopback() {
-  endpoint address;
-  address.ip[10] = 0xff;
-  address.ip[11] = 0xff;
-  address.ip[12] = 127;
-  address.ip[15] = 1;
-  return address;
-}
-
 /// Answers uploads. Each one after the first hears, at its first block, that it
 /// is not known whether the upload before it ran.
 class late_server {
  public:
-  late_server() : socket_(udp_socket::Bind(Loopback()).value()) {
+  late_server()
+      : socket_(
+            udp_socket::Bind(ParseEndpoint("127.0.0.1:0").value()).value()) {
     thread_ = std::thread([this] { Run(); });
   }
   late_server(const late_server&) = delete;
--- a/src/load/outcome_counts.cc
+++ b/src/load/outcome_counts.cc
@@ -19,7 +19,7 @@
 constexpr std::array<int, 8> kLatencyPercents = {10, 25, 50, 75,
                                                  90, 95, 98, 99};
 
-nlohmann::json ToJson(const ended_request& request) {
+nlohmann::json RowOf(const ended_request& request) {
   return {{"id", request.id},
           {"flow", request.flow},
           {"sent", FormatUtc(request.sent_at)},
@@ -41,7 +41,7 @@
     latencies_ms_.push_back(
         absl::ToDoubleMilliseconds(request.ended_at - request.sent_at));
   } else {
-    unanswered_.at(static_cast<size_t>(value)).push_back(request);
+    unanswered_.push_back(request);
   }
 }
 
@@ -50,9 +50,9 @@
   for (size_t i = 0; i < kOutcomes; ++i) {
     report[std::string(kNames.at(i))] = counts_.at(i);
     report["ids"][std::string(kNames.at(i))] = ids_.at(i);
-    for (const ended_request& request : unanswered_.at(i)) {
-      report["unanswered"].push_back(cardamomroute::load::ToJson(request));
-    }
+  }
+  for (const ended_request& request : unanswered_) {
+    report["unanswered"].push_back(RowOf(request));
   }
   for (const auto& [code, count] : codes_) {
     report["codes"][std::to_string(code)] = count;
--- a/src/load/outcome_counts.h
+++ b/src/load/outcome_counts.h
@@ -66,7 +66,7 @@
  private:
   std::array<uint64_t, kOutcomes> counts_{};
   std::array<std::vector<std::string>, kOutcomes> ids_;
-  std::array<std::vector<ended_request>, kOutcomes> unanswered_;
+  std::vector<ended_request> unanswered_;
   std::vector<double> latencies_ms_;
   std::map<int, uint64_t> codes_;
   uint64_t notifications_ = 0;
--- a/src/routing/flow_peers_test.cc
+++ b/src/routing/flow_peers_test.cc
@@ -81,6 +81,13 @@
     return actions;
   }
 
+  /// A packet of a balancer that has the view of version 2.
+  flow_actions ReceiveUnderLaterView(const endpoint& caller) {
+    packet_header header = Header(packet_kind::kFromCaller, caller, 0);
+    header.view_version = 2;
+    return Receive(header);
+  }
+
   flow_actions ReceiveRegister(const endpoint& caller, target_id sender,
                                uint64_t generation) {
     packet_header header = Header(packet_kind::kRegister, {}, sender);
@@ -152,9 +159,7 @@
                         peer_fixture) {
   const endpoint caller = CallerOf(kPeer, kPeer);
   Receive(MakeGrant(*this, caller));
-  packet_header header = Header(packet_kind::kFromCaller, caller, 0);
-  header.view_version = 2;
-  const flow_actions actions = Receive(header);
+  const flow_actions actions = ReceiveUnderLaterView(caller);
   BOOST_TEST(FindKind(actions, flow_action_kind::kDeliver) != nullptr);
   BOOST_TEST(FindKind(actions, flow_action_kind::kPullNow) != nullptr);
 }
@@ -164,9 +169,7 @@
 BOOST_FIXTURE_TEST_CASE(redirects_flows_rather_than_refuse_them, peer_fixture) {
   const endpoint caller = CallerOf(kOwn, kOwn);
   ReceiveRegister(caller, kPeer, 100);
-  packet_header header = Header(packet_kind::kFromCaller, caller, 0);
-  header.view_version = 2;
-  const flow_actions at_once = Receive(header);
+  const flow_actions at_once = ReceiveUnderLaterView(caller);
   BOOST_TEST(FindMessage(at_once, packet_kind::kFromCaller) == nullptr);
   BOOST_TEST(FindKind(at_once, flow_action_kind::kPullNow) != nullptr);
   const flow_actions later = TickAfter(absl::Seconds(1));
@@ -180,9 +183,7 @@
 BOOST_FIXTURE_TEST_CASE(awaits_the_view_before_it_redirects, peer_fixture) {
   const endpoint caller = CallerOf(kOwn, kOwn);
   ReceiveRegister(caller, kPeer, 100);
-  packet_header header = Header(packet_kind::kFromCaller, caller, 0);
-  header.view_version = 2;
-  const flow_actions at_once = Receive(header);
+  const flow_actions at_once = ReceiveUnderLaterView(caller);
   BOOST_TEST(FindMessage(at_once, packet_kind::kFromCaller) == nullptr);
   const flow_actions later = ShowWithoutPeer();
   BOOST_TEST(FindMessage(later, packet_kind::kFromCaller) == nullptr);
@@ -190,10 +191,7 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(places_no_flow_while_its_view_is_behind, peer_fixture) {
-  packet_header header =
-      Header(packet_kind::kFromCaller, CallerOf(kOwn, kOwn), 0);
-  header.view_version = 2;
-  const flow_actions actions = Receive(header);
+  const flow_actions actions = ReceiveUnderLaterView(CallerOf(kOwn, kOwn));
   BOOST_TEST(FindKind(actions, flow_action_kind::kDeliver) == nullptr);
   BOOST_TEST(FindKind(actions, flow_action_kind::kRefuse) == nullptr);
 }
