A control member applies what was committed as soon as it starts

Change: NextDeadline is in the past until the first Advance. The test of a member that serves without a leader asks for it.

--- a/src/cardamomroute/control_configuration_test.cc
+++ b/src/cardamomroute/control_configuration_test.cc
@@ -177,6 +177,8 @@
   }
   for (int vm = 0; vm < 3; ++vm) {
     group.Start(vm);
+    // Pattern: all have stopped, and balancers wait for routes.
+    BOOST_TEST((group.Member(vm).NextDeadline() <= group.Now(vm)));
     group.Run(absl::Milliseconds(10));
     BOOST_TEST(group.Member(vm).State().Configuration()->version() == 7U);
     group.Crash(vm);
--- a/src/cardamomroute/control_member.cc
+++ b/src/cardamomroute/control_member.cc
@@ -188,6 +188,7 @@
 }
 
 result<void> control_member::Advance(absl::Time now) {
+  has_advanced_ = true;
   if (raft_->RunsOnOldCopy()) {
     return GiveUpOldCopy();
   }
@@ -430,6 +431,10 @@
 }
 
 absl::Time control_member::NextDeadline() const {
+  // What was committed before the start is in force after the first Advance.
+  if (!has_advanced_) {
+    return absl::InfinitePast();
+  }
   absl::Time next = std::min(raft_->NextDeadline(), registry_.NextDeadline());
   if (leading_term_ != 0) {
     next = std::min(next, next_repair_);
--- a/src/cardamomroute/control_member.h
+++ b/src/cardamomroute/control_member.h
@@ -203,6 +203,7 @@
   absl::Time next_repair_;
   absl::Time retry_write_at_;
   bool stopping_ = false;
+  bool has_advanced_ = false;
 };
 
 }  // namespace cardamomroute
