A search that every agent denies asks for a newer list at once

Change: such a search names the time as of which a list is wanted, and the follower asks each member that answers and was last asked before that time, 25 ms after the last poll at the earliest. Members that are away are not asked more often. The rule that a reset needs such a list stays.

--- a/src/directory/directory_follower.cc
+++ b/src/directory/directory_follower.cc
@@ -28,6 +28,25 @@
   }
 }
 
+void directory_follower::Refresh(absl::Time wanted_as_of) {
+  if (wanted_as_of <= wanted_as_of_) {
+    return;
+  }
+  wanted_as_of_ = wanted_as_of;
+  for (const auto& [address, asked] : members_) {
+    next_ = std::min(next_, DueAt(asked));
+  }
+}
+
+absl::Time directory_follower::DueAt(const member& asked) const {
+  const bool is_under_way = asked.first_poll != 0;
+  if (!asked.answers || is_under_way ||
+      asked.answer_asked_at >= wanted_as_of_) {
+    return asked.due;
+  }
+  return std::min(asked.due, asked.answer_asked_at + kRefreshInterval);
+}
+
 std::vector<due_poll> directory_follower::Due(absl::Time now) {
   std::vector<due_poll> due;
   if (now < next_) {
@@ -46,8 +65,8 @@
           .With("silent_ms", absl::ToInt64Milliseconds(now - asked.heard_at))
           .With("late_answers", asked.late_answers);
     }
-    if (now < asked.due) {
-      next_ = std::min(next_, asked.due);
+    if (const absl::Time due_at = DueAt(asked); now < due_at) {
+      next_ = std::min(next_, due_at);
       continue;
     }
     asked.poll = next_poll_ += 2;
@@ -105,7 +124,7 @@
       IsComplete() && SettledAsOf() > absl::InfinitePast() ? kPollInterval
                                                            : kFirstPollTimeout;
   teller.due = more ? now : now + pause;
-  next_ = std::min(next_, teller.due);
+  next_ = std::min(next_, DueAt(teller));
 }
 
 void directory_follower::TakeUpstreams(const inner::directory_page& page,
--- a/src/directory/directory_follower.h
+++ b/src/directory/directory_follower.h
@@ -28,6 +28,9 @@
 /// The same while the balancer has not got all that it needs.
 inline constexpr absl::Duration kFirstPollTimeout = absl::Milliseconds(50);
 
+/// The least time between two polls of a member that answers.
+inline constexpr absl::Duration kRefreshInterval = absl::Milliseconds(25);
+
 /// A member whose process is younger than that may not have heard of all
 /// agents: they announce themselves anew within two intervals at the start.
 inline constexpr absl::Duration kListAge = absl::Milliseconds(120);
@@ -71,6 +74,10 @@
     contacts_.OnSeeds(std::move(seeds));
   }
 
+  /// Members that were last asked before `wanted_as_of` are to be asked soon,
+  /// not only after kPollInterval.
+  void Refresh(absl::Time wanted_as_of);
+
   std::vector<due_poll> Due(absl::Time now);
   /// When Due has something, unless an answer comes.
   absl::Time NextDeadline() const { return next_; }
@@ -119,6 +126,7 @@
     absl::btree_map<ipv4_address, inner::upstream_record> upstreams;
   };
 
+  absl::Time DueAt(const member& asked) const;
   void TakeUpstreams(const inner::directory_page& page, member* teller);
   bool TakeRoutes(const inner::directory_page& page);
   std::vector<known_upstream> Merge() const;
@@ -127,6 +135,7 @@
   metric_recorder* const recorder_;
   control_contacts contacts_;
   uint64_t next_poll_;
+  absl::Time wanted_as_of_ = absl::InfinitePast();
   absl::Time next_ = absl::InfinitePast();
   absl::btree_map<ipv4_address, member> members_;
   bool has_list_ = false;
--- a/src/directory/directory_test.cc
+++ b/src/directory/directory_test.cc
@@ -300,6 +300,53 @@
   BOOST_TEST(Known().size() == 1U);
 }
 
+// Pattern: callers of lost flows come back by and by. A search that every agent
+// has denied needs a list that was asked for after it began, and does not wait
+// for the next poll of each member.
+BOOST_FIXTURE_TEST_CASE(AListThatIsWantedIsAskedForAtOnce, fixture) {
+  members.emplace(kOtherMember, node_directory(3, now));
+  Run(absl::Seconds(3));
+  for (int i = 0; i < 20; ++i) {
+    Run(absl::Milliseconds(70));
+    const absl::Time wanted = now;
+    follower.Refresh(wanted);
+    Run(absl::Milliseconds(20));
+    BOOST_TEST(follower.SettledAsOf() >= wanted);
+  }
+}
+
+// Links are thin, and searches may begin at any time.
+BOOST_FIXTURE_TEST_CASE(WantedListsAreAskedForInTurn, fixture) {
+  members.emplace(kOtherMember, node_directory(3, now));
+  Run(absl::Seconds(3));
+  size_t polls = 0;
+  const absl::Time end = now + absl::Seconds(1);
+  for (; now < end; now += absl::Milliseconds(1)) {
+    follower.Refresh(now);
+    for (const due_poll& due : follower.Due(now)) {
+      follower.OnPage(due.to,
+                      members.at(due.to).OnPoll(due.poll, in_force, now), now);
+      ++polls;
+    }
+  }
+  BOOST_TEST(polls <= members.size() * static_cast<size_t>(absl::Seconds(1) /
+                                                           kRefreshInterval));
+}
+
+// A member that is away is not asked more often for it.
+BOOST_FIXTURE_TEST_CASE(AWantedListDoesNotHurryAMemberThatIsAway, fixture) {
+  Run(absl::Seconds(3));
+  const absl::Time end = now + absl::Seconds(1);
+  size_t polls = 0;
+  for (; now < end; now += absl::Milliseconds(1)) {
+    follower.Refresh(now);
+    for (const due_poll& due : follower.Due(now)) {
+      polls += due.to == kMember ? 1 : 0;
+    }
+  }
+  BOOST_TEST(polls <= static_cast<size_t>(absl::Seconds(1) / kPollTimeout) + 2);
+}
+
 BOOST_FIXTURE_TEST_CASE(AnswersThatWereNotAskedForAreIgnored, fixture) {
   inner::directory_page page;
   page.set_configuration_version(99);
--- a/src/flows/flow_balancer.h
+++ b/src/flows/flow_balancer.h
@@ -63,6 +63,10 @@
   /// where some may be missing.
   void OnSettled(absl::Time as_of, absl::Time now);
 
+  /// The upstreams are to be asked for again, so that they are known as of this
+  /// time; infinitely long ago where they need not be.
+  absl::Time ListWantedAsOf() const { return searches_.ListWantedAsOf(); }
+
   /// A packet of a caller; `bytes` is all of it.
   void OnCallerPacket(const flow_packet& packet,
                       absl::Span<const uint8_t> bytes, absl::Time now);
--- a/src/flows/flow_balancer_test.cc
+++ b/src/flows/flow_balancer_test.cc
@@ -403,6 +403,27 @@
   BOOST_TEST(out.resets.size() == 1U);
 }
 
+// Pattern: callers of lost flows come back by and by. Each is told as soon as a
+// list that is newer than its search can be had, and no list is asked for while
+// an agent may still hold the flow.
+BOOST_FIXTURE_TEST_CASE(ANewerListIsWantedOnceAllDeny, fixture) {
+  const absl::Time began = kStart + absl::Milliseconds(7);
+  balancer.OnSettled(kStart, kStart);
+  Take(Data(), began);
+  const std::vector<ipv4_address> all = Asked(began);
+  BOOST_REQUIRE(all.size() == 3U);
+  Deny(all[0], began);
+  Deny(all[1], began);
+  BOOST_TEST((balancer.ListWantedAsOf() == absl::InfinitePast()));
+  Deny(all[2], began);
+  BOOST_TEST((balancer.ListWantedAsOf() == began));
+  BOOST_TEST(out.resets.empty());
+  const absl::Time asked = began + absl::Milliseconds(2);
+  balancer.OnSettled(asked, asked);
+  balancer.Tick(asked);
+  BOOST_TEST(out.resets.size() == 1U);
+}
+
 // Guards against the reset of a flow that its caller has opened anew meanwhile.
 BOOST_FIXTURE_TEST_CASE(AListThatIsNewerTooLateResetsNothing, fixture) {
   balancer.OnSettled(kStart - absl::Milliseconds(1), kStart);
--- a/src/flows/flow_searches.cc
+++ b/src/flows/flow_searches.cc
@@ -222,6 +222,9 @@
     return;
   }
   search.awaits_list = step.is_nowhere;
+  if (step.is_nowhere) {
+    list_wanted_as_of_ = std::max(list_wanted_as_of_, search.holder.began_at());
+  }
   if (search.holder.WaitsForSilent() &&
       !std::exchange(search.has_waited, true)) {
     log_line(log_level::kInfo, "flow_search_waits")
--- a/src/flows/flow_searches.h
+++ b/src/flows/flow_searches.h
@@ -83,6 +83,11 @@
   void OnSettled(absl::Time as_of, absl::Time now);
   bool IsSettled() const { return settled_as_of_ > absl::InfinitePast(); }
 
+  /// Every agent that is known denies a flow, so a list of upstreams that is
+  /// asked for at this time or later ends its search; infinitely long ago where
+  /// there is no such flow.
+  absl::Time ListWantedAsOf() const { return list_wanted_as_of_; }
+
   /// Goes on with what is due, and sends the queries of this round.
   void Tick(absl::Time now);
   absl::Time NextDeadline() const { return next_; }
@@ -146,6 +151,7 @@
   byte_budget budget_{kSearchBytesPerSecond, kSearchBurstBytes};
   size_t held_packets_ = 0;
   absl::Time settled_as_of_ = absl::InfinitePast();
+  absl::Time list_wanted_as_of_ = absl::InfinitePast();
   /// Queries of this round.
   absl::btree_map<ipv4_address, inner::holder_query> queries_;
   uint64_t list_version_ = 1;
