Pages of upstreams say each name once and use the room of the routes

Change: a page names services and zones once, leaves out the nodes' names, which balancers do not use, and gives upstreams the room of the routes where the balancer has those.

--- a/src/directory/directory_follower.cc
+++ b/src/directory/directory_follower.cc
@@ -7,6 +7,15 @@
 #include "base/metric_recorder.h"
 
 namespace cardamomroute {
+namespace {
+
+std::string NameAt(const inner::directory_page& page, uint32_t place) {
+  return place < static_cast<uint32_t>(page.names_size())
+             ? page.names(static_cast<int>(place))
+             : std::string();
+}
+
+}  // namespace
 
 directory_follower::directory_follower(std::vector<ipv4_address> seeds,
                                        uint64_t seed, metric_recorder* recorder)
@@ -142,7 +151,10 @@
     if (record.gone()) {
       teller->upstreams.erase(agent);
     } else {
-      teller->upstreams[agent] = record;
+      inner::upstream_record& known = teller->upstreams[agent];
+      known = record;
+      known.mutable_announced()->set_service(NameAt(page, record.service()));
+      known.mutable_announced()->set_zone(NameAt(page, record.zone()));
     }
     list_changed_ = true;
   }
--- a/src/directory/directory_test.cc
+++ b/src/directory/directory_test.cc
@@ -165,6 +165,30 @@
   const auto page = members.at(kMember).OnPoll(poll, in_force, now);
   BOOST_TEST(page.ByteSizeLong() <= kLongestDatagram);
   BOOST_TEST(page.more());
+  // A balancer that has the routes gets more upstreams in their place.
+  poll.set_configuration_version(in_force.version());
+  const auto without_routes = members.at(kMember).OnPoll(poll, in_force, now);
+  BOOST_TEST(without_routes.ByteSizeLong() <= kLongestDatagram);
+  BOOST_TEST(without_routes.upstreams_size() > page.upstreams_size());
+}
+
+// Names that many upstreams share stand once in a page.
+BOOST_FIXTURE_TEST_CASE(UpstreamsComeWithTheirServiceAndZone, fixture) {
+  for (uint32_t agent = 1; agent <= 60; ++agent) {
+    inner::announcement announced =
+        Announced(agent, 1, 1, upstream_state::kServing);
+    announced.set_service(Concat("service-", agent % 3));
+    announced.set_zone(agent % 2 == 0 ? "" : "zone-of-a-long-name");
+    Announce(kMember, announced);
+  }
+  Run(absl::Seconds(1));
+  const std::vector<known_upstream> known = Known();
+  BOOST_REQUIRE(known.size() == 60U);
+  for (const known_upstream& item : known) {
+    BOOST_TEST(item.service == Concat("service-", item.agent.ip % 3));
+    BOOST_TEST(item.zone ==
+               (item.agent.ip % 2 == 0 ? "" : "zone-of-a-long-name"));
+  }
 }
 
 // A member that lags or has started again says less than is known.
--- a/src/directory/node_directory.cc
+++ b/src/directory/node_directory.cc
@@ -14,6 +14,56 @@
          a.zone() == b.zone() && a.leaving() == b.leaving();
 }
 
+/// Puts records into a page, which has each name once.
+class page_writer {
+ public:
+  /// `room` is for records and names, in bytes.
+  page_writer(inner::directory_page* page, size_t room)
+      : page_(page), room_(room) {}
+
+  /// False where the page has no room for the record; the first one always
+  /// has.
+  bool Add(const inner::upstream_record& record) {
+    const int names_before = page_->names_size();
+    inner::upstream_record* added = page_->add_upstreams();
+    *added = record;
+    inner::announcement* announced = added->mutable_announced();
+    added->set_service(PlaceOf(announced->service()));
+    added->set_zone(PlaceOf(announced->zone()));
+    announced->clear_node();
+    announced->clear_service();
+    announced->clear_zone();
+    bytes_ += added->ByteSizeLong() + kFieldHead;
+    if (bytes_ <= room_ || page_->upstreams_size() == 1) {
+      return true;
+    }
+    page_->mutable_upstreams()->RemoveLast();
+    while (page_->names_size() > names_before) {
+      page_->mutable_names()->RemoveLast();
+    }
+    return false;
+  }
+
+ private:
+  // Tag and length of a repeated field.
+  static constexpr size_t kFieldHead = 2;
+
+  uint32_t PlaceOf(const std::string& name) {
+    const auto found =
+        std::find(page_->names().begin(), page_->names().end(), name);
+    const auto place = static_cast<uint32_t>(found - page_->names().begin());
+    if (found == page_->names().end()) {
+      page_->add_names(name);
+      bytes_ += name.size() + kFieldHead;
+    }
+    return place;
+  }
+
+  inner::directory_page* const page_;
+  const size_t room_;
+  size_t bytes_ = 0;
+};
+
 // An earlier process at the address, or a message that was overtaken.
 bool IsLate(const inner::announcement& announced,
             const inner::announcement& known) {
@@ -131,7 +181,7 @@
 }
 
 // Oldest changes first, so that a balancer that got a part goes on from there.
-void node_directory::AddUpstreams(uint64_t have,
+void node_directory::AddUpstreams(uint64_t have, size_t room,
                                   inner::directory_page* page) const {
   std::vector<const record*> newer;
   for (const auto& [address, known] : records_) {
@@ -142,15 +192,12 @@
   std::sort(newer.begin(), newer.end(), [](const record* a, const record* b) {
     return a->version < b->version;
   });
-  size_t bytes = 0;
-  page->set_directory_version(version_);
+  page_writer writer(page, room);
   for (const record* known : newer) {
-    bytes += known->upstream.ByteSizeLong();
-    if (bytes > kPageUpstreamBytes && page->upstreams_size() > 0) {
+    if (!writer.Add(known->upstream)) {
       page->set_more(true);
       return;
     }
-    *page->add_upstreams() = known->upstream;
     page->set_directory_version(known->version);
   }
   page->set_directory_version(version_);
@@ -169,9 +216,12 @@
   *page.mutable_members() = members_;
   page.set_from_start(poll.member_run() != run_ ||
                       poll.directory_version() < forgotten_version_);
-  AddUpstreams(page.from_start() ? 0 : poll.directory_version(), &page);
+  const bool lacks_routes = poll.configuration_version() < in_force.version();
+  AddUpstreams(page.from_start() ? 0 : poll.directory_version(),
+               kPageUpstreamBytes + (lacks_routes ? 0 : kPageRoutesBytes),
+               &page);
   page.set_configuration_version(in_force.version());
-  if (poll.configuration_version() < in_force.version()) {
+  if (lacks_routes) {
     const size_t total = in_force.routes().size();
     const size_t offset = poll.partial_version() == in_force.version()
                               ? std::min<size_t>(poll.partial_bytes(), total)
--- a/src/directory/node_directory.h
+++ b/src/directory/node_directory.h
@@ -29,7 +29,8 @@
 inline constexpr absl::Duration kFormerAgentLife = absl::Seconds(1);
 
 /// Bytes of upstreams and of routes in one page, so that it fits a datagram of
-/// 1280 bytes, the smallest MTU of IPv6 (RFC 8200, section 5).
+/// 1280 bytes, the smallest MTU of IPv6 (RFC 8200, section 5). Upstreams get
+/// the room of the routes where a balancer has those.
 inline constexpr size_t kPageUpstreamBytes = 600;
 inline constexpr size_t kPageRoutesBytes = 500;
 
@@ -79,7 +80,8 @@
 
   absl::Duration Age(absl::Time now) const;
   void NoteSilent(absl::Time now);
-  void AddUpstreams(uint64_t have, inner::directory_page* page) const;
+  void AddUpstreams(uint64_t have, size_t room,
+                    inner::directory_page* page) const;
 
   uint64_t run_;
   absl::Time began_at_;
--- a/src/directory/recovery_test.cc
+++ b/src/directory/recovery_test.cc
@@ -325,6 +325,18 @@
   }
 }
 
+// The same with 91 balancers on links of 2 Mbit/s before 204 agents.
+BOOST_AUTO_TEST_CASE(ALargeSiteIsSettledHalfASecondAfterAnAllStop) {
+  shape large;
+  large.members = 5;
+  large.agents = 204;
+  large.balancers = 91;
+  for (uint64_t seed = 1; seed <= 2; ++seed) {
+    CheckStart(large, seed % 2 == 0, seed, absl::Milliseconds(300),
+               absl::Milliseconds(500));
+  }
+}
+
 // Pattern: all are killed; agents are back up to 0.7 s later than the rest, and
 // their upstreams have lived on. No list is whole without them.
 BOOST_AUTO_TEST_CASE(AgentsThatAreBackLateAreNotMissing) {
