One way to keep an entry for each contact; the folder of a file is made once

Cause: the announcer and the directory follower each had the loop that drops members which are not contacted any more and adds new ones, and background_file created its folder, with a sync of the parent, before every write.

Change: KeepContacts beside control_contacts serves both, and the folder is made once, before the first write.

--- a/src/cardamomroute/background_file.cc
+++ b/src/cardamomroute/background_file.cc
@@ -12,6 +12,13 @@
 // Not the suffix of the temporary files that log_store removes.
 constexpr char kNextSuffix[] = ".next";
 
+void LogFailure(const result<void>& outcome) {
+  if (!outcome) {
+    log_line(log_level::kWarn, "file_not_written")
+        .With("reason", Describe(outcome.error()));
+  }
+}
+
 }  // namespace
 
 background_file::background_file(control::file_system* files,
@@ -42,11 +49,9 @@
 void background_file::Run(const std::function<void(std::string)>& on_read) {
   auto read = files_->Read(path_);
   on_read(read ? std::move(read).value() : "");
+  LogFailure(files_->CreateFolder(folder_));
   while (const auto content = WaitForContent()) {
-    if (const result<void> stored = Store(*content); !stored) {
-      log_line(log_level::kWarn, "file_not_written")
-          .With("reason", Describe(stored.error()));
-    }
+    LogFailure(Store(*content));
   }
 }
 
@@ -62,7 +67,6 @@
 // A crash leaves either the old or the new content.
 result<void> background_file::Store(const std::string& content) {
   const std::string next = path_ + kNextSuffix;
-  BOOST_OUTCOME_TRYV(files_->CreateFolder(folder_));
   // What a crash has left of it.
   (void)files_->Remove(next);
   BOOST_OUTCOME_TRY(opened, files_->OpenForAppend(next));
--- a/src/directory/announcer.cc
+++ b/src/directory/announcer.cc
@@ -43,25 +43,11 @@
   }
 }
 
-void announcer::NoteContacts(absl::Time now) {
-  const std::vector<ipv4_address> all = contacts_.All(now);
-  for (auto known = members_.begin(); known != members_.end();) {
-    if (std::binary_search(all.begin(), all.end(), known->first)) {
-      ++known;
-    } else {
-      known = members_.erase(known);
-    }
-  }
-  for (const ipv4_address& address : all) {
-    members_[address];
-  }
-}
-
 std::optional<due_announcement> announcer::Due(absl::Time now) {
   if (now < next_) {
     return std::nullopt;
   }
-  NoteContacts(now);
+  KeepContacts(contacts_.All(now), &members_);
   next_ = now + kAnnouncementInterval;
   due_announcement due;
   for (auto& [address, member] : members_) {
--- a/src/directory/announcer.h
+++ b/src/directory/announcer.h
@@ -67,8 +67,6 @@
     absl::Time unanswered_since = absl::InfiniteFuture();
   };
 
-  void NoteContacts(absl::Time now);
-
   inner::announcement own_;
   control_contacts contacts_;
   absl::btree_map<ipv4_address, contact> members_;
--- a/src/directory/control_contacts.h
+++ b/src/directory/control_contacts.h
@@ -1,6 +1,7 @@
 #ifndef CARDAMOMROUTE_DIRECTORY_CONTROL_CONTACTS_H_
 #define CARDAMOMROUTE_DIRECTORY_CONTROL_CONTACTS_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <vector>
 
@@ -20,6 +21,26 @@
 /// are no members any more.
 inline constexpr size_t kMaxContacts = 12;
 
+/// Makes `kept` have an entry for each of `contacts`, which are sorted, and for
+/// nobody else. Returns whether one was removed.
+template <class Value>
+bool KeepContacts(const std::vector<ipv4_address>& contacts,
+                  absl::btree_map<ipv4_address, Value>* kept) {
+  bool is_removed = false;
+  for (auto known = kept->begin(); known != kept->end();) {
+    if (std::binary_search(contacts.begin(), contacts.end(), known->first)) {
+      ++known;
+    } else {
+      known = kept->erase(known);
+      is_removed = true;
+    }
+  }
+  for (const ipv4_address& contact : contacts) {
+    (*kept)[contact];
+  }
+  return is_removed;
+}
+
 /// Where a node finds the control group: the seeds of its settings, and the
 /// members that answers have named.
 class control_contacts {
--- a/src/directory/directory_follower.cc
+++ b/src/directory/directory_follower.cc
@@ -21,22 +21,6 @@
                                        uint64_t seed, metric_recorder* recorder)
     : recorder_(recorder), contacts_(std::move(seeds)), next_poll_(seed | 1) {}
 
-// Members that are not contacted any more have no say.
-void directory_follower::NoteMembers(absl::Time now) {
-  const std::vector<ipv4_address> all = contacts_.All(now);
-  for (auto known = members_.begin(); known != members_.end();) {
-    if (std::binary_search(all.begin(), all.end(), known->first)) {
-      ++known;
-    } else {
-      known = members_.erase(known);
-      list_changed_ = true;
-    }
-  }
-  for (const ipv4_address& address : all) {
-    members_[address];
-  }
-}
-
 void directory_follower::Refresh(absl::Time wanted_as_of) {
   if (wanted_as_of <= wanted_as_of_) {
     return;
@@ -61,7 +45,10 @@
   if (now < next_) {
     return due;
   }
-  NoteMembers(now);
+  // Members that are not contacted any more have no say.
+  if (KeepContacts(contacts_.All(now), &members_)) {
+    list_changed_ = true;
+  }
   const absl::Duration timeout =
       IsComplete() ? kPollTimeout : kFirstPollTimeout;
   next_ = now + timeout;
--- a/src/directory/directory_follower.h
+++ b/src/directory/directory_follower.h
@@ -131,7 +131,6 @@
   void TakeUpstreams(const inner::directory_page& page, member* teller);
   bool TakeRoutes(const inner::directory_page& page);
   std::vector<known_upstream> Merge() const;
-  void NoteMembers(absl::Time now);
 
   metric_recorder* const recorder_;
   control_contacts contacts_;
