background_file: nothing touches the files between on_read and a Write

Cause: since the thread creates the folder after it has called on_read. Change: the folder is created before the file is read.

--- a/src/cardamomroute/background_file.cc
+++ b/src/cardamomroute/background_file.cc
@@ -47,9 +47,9 @@
 }
 
 void background_file::Run(const std::function<void(std::string)>& on_read) {
+  LogFailure(files_->CreateFolder(folder_));
   auto read = files_->Read(path_);
   on_read(read ? std::move(read).value() : "");
-  LogFailure(files_->CreateFolder(folder_));
   while (const auto content = WaitForContent()) {
     LogFailure(Store(*content));
   }
