An agent past its lease says unknown where it said not run

Cause: testsuite/zone_frozen once found an upload told not-run that had run: an agent thawed after ten seconds took up a copy that had waited in its socket, had no room for it and answered 5.03, though it had been taken out of the view and another agent had run the request. It answered by what itself had run. Change: the request core knows until when the agent's lease is valid, and past it no request without an Echo value of its own is told not-run.

--- a/src/cardamomroute/agent_worker.cc
+++ b/src/cardamomroute/agent_worker.cc
@@ -101,6 +101,7 @@
     }
     if (flows_ != nullptr) {
       flows_->OnCurrentVersion(event.current_version, event.asked_at);
+      carrier_->OnLease(flows_->lease().valid_until());
     }
   }
 }
--- a/src/cardamomroute/coap_carrier.cc
+++ b/src/cardamomroute/coap_carrier.cc
@@ -75,6 +75,10 @@
   serving_ = std::move(serving);
 }
 
+void coap_carrier::OnLease(absl::Time valid_until) {
+  core_.OnLease(valid_until);
+}
+
 void coap_carrier::OnCallerDatagram(const flow_key& flow,
                                     std::string_view datagram, absl::Time now) {
   Perform(core_.OnCallerMessage(flow, datagram, now));
--- a/src/cardamomroute/coap_carrier.h
+++ b/src/cardamomroute/coap_carrier.h
@@ -31,6 +31,7 @@
   ~coap_carrier() override;
 
   void OnView(const view& current, const service& own) override;
+  void OnLease(absl::Time valid_until) override;
   void OnCallerDatagram(const flow_key& flow, std::string_view datagram,
                         absl::Time now) override;
   void OnPassedOn(const flow_key& flow, std::string_view datagram,
--- a/src/cardamomroute/datagram_carrier.cc
+++ b/src/cardamomroute/datagram_carrier.cc
@@ -29,6 +29,9 @@
 void datagram_carrier::OnView(const view& /*current*/, const service& /*own*/) {
 }
 
+// It answers nothing by itself.
+void datagram_carrier::OnLease(absl::Time /*valid_until*/) {}
+
 void datagram_carrier::OnCallerDatagram(const flow_key& flow,
                                         std::string_view datagram,
                                         absl::Time now) {
--- a/src/cardamomroute/datagram_carrier.h
+++ b/src/cardamomroute/datagram_carrier.h
@@ -26,6 +26,7 @@
                    carrier_host* host);
 
   void OnView(const view& current, const service& own) override;
+  void OnLease(absl::Time valid_until) override;
   void OnCallerDatagram(const flow_key& flow, std::string_view datagram,
                         absl::Time now) override;
   void OnPassedOn(const flow_key& flow, std::string_view datagram,
--- a/src/cardamomroute/flow_carrier.h
+++ b/src/cardamomroute/flow_carrier.h
@@ -50,6 +50,10 @@
   /// A newer view in which `own` is the service of this agent.
   virtual void OnView(const view& current, const service& own) = 0;
 
+  /// Flows that are held here may be held by other targets as well from
+  /// `valid_until` on. Called whenever it changes.
+  virtual void OnLease(absl::Time valid_until) = 0;
+
   /// A datagram of a caller whose flow is held here.
   virtual void OnCallerDatagram(const flow_key& flow, std::string_view datagram,
                                 absl::Time now) = 0;
--- a/src/requests/request_core.h
+++ b/src/requests/request_core.h
@@ -100,6 +100,10 @@
   /// flows. For kMaxTransmitSpan after that, a request of a flow that is new to
   /// this core may already have run on the lost target.
   void OnTargetLost(absl::Time now) { target_lost_at_ = now; }
+  /// Other targets may take over flows of this core, without its knowledge,
+  /// from `valid_until` on, and run a request of which a copy comes here. Until
+  /// this is called, they never do.
+  void OnLease(absl::Time valid_until) { lease_valid_until_ = valid_until; }
 
   /// Handles a datagram that a caller sent to this service.
   request_actions OnCallerMessage(const flow_key& flow,
@@ -251,7 +255,8 @@
   void Refuse(const caller_request& request, uint8_t code,
               decision_reason reason, absl::Time now);
   coap_message BuildNotRunAnswer(const caller_request& request, absl::Time now);
-  /// True if the request may have run on a target that was lost recently.
+  /// True if the request may have run on a target that was lost recently, or on
+  /// one that has taken over from this one.
   bool MayHaveRunElsewhere(const caller_request& request, absl::Time now) const;
   /// A not-run answer, or a run-unknown answer if an earlier delivery of the
   /// request may have run.
@@ -396,6 +401,7 @@
   absl::flat_hash_map<uint64_t, uint32_t> open_run_counts_;
   uint64_t next_id_ = 1;
   absl::Time target_lost_at_ = absl::InfinitePast();
+  absl::Time lease_valid_until_ = absl::InfiniteFuture();
   bool draining_ = false;
   request_actions actions_;
 };
--- a/src/requests/request_core_answer.cc
+++ b/src/requests/request_core_answer.cc
@@ -34,9 +34,15 @@
 
 bool request_core::MayHaveRunElsewhere(const caller_request& request,
                                        absl::Time now) const {
+  // Only the target that issued an Echo value runs a request with it.
+  if (!request.echo.empty()) {
+    return false;
+  }
+  if (now >= lease_valid_until_) {
+    return true;
+  }
   const auto it = flows_.find(request.flow);
-  return request.echo.empty() && it != flows_.end() &&
-         it->second.previous_holders.empty() &&
+  return it != flows_.end() && it->second.previous_holders.empty() &&
          now < target_lost_at_ + kMaxTransmitSpan &&
          it->second.held_since >= target_lost_at_;
 }
