--- a/src/flows/flow_agent.cc
+++ b/src/flows/flow_agent.cc
@@ -116,15 +116,34 @@
 void flow_agent::OnHolderQuery(const ipv4_address& balancer,
                                const inner::holder_query& query) {
   inner::holder_answer* answer = datagram_.mutable_answer();
+  answer->Clear();
   *answer->mutable_flows() = query.flows();
-  answer->clear_claims();
   for (const flow_id& flow : FlowsOf(query.flows())) {
     answer->add_claims(ClaimOf(flow));
   }
+  if (query.has_asked_at()) {
+    answer->set_asked_at(query.asked_at());
+    ListFlows(answer);
+  }
   FillLoad(answer->mutable_load());
   outlet_->SendToBalancer(balancer, datagram_);
 }
 
+// A flow that is not listed is one that ClaimOf denies.
+void flow_agent::ListFlows(inner::holder_answer* answer) const {
+  const size_t named_bytes = answer->flows().ByteSizeLong() +
+                             static_cast<size_t>(answer->claims_size());
+  const size_t room = kMaxListedFlows * sizeof(uint32_t);
+  if (!knows_all_flows_ ||
+      named_bytes + flows_.size() * sizeof(uint32_t) > room) {
+    return;
+  }
+  answer->set_lists_all(true);
+  for (const auto& [flow, held] : flows_) {
+    answer->add_listed(ListedHashOf(flow));
+  }
+}
+
 void flow_agent::OnOpening(const ipv4_address& balancer,
                            const inner::carried_packet& carried,
                            const flow_id& flow, absl::Time now) {
--- a/src/flows/flow_agent.h
+++ b/src/flows/flow_agent.h
@@ -58,6 +58,11 @@
 inline constexpr size_t kUnknownFlows = 4096;
 inline constexpr absl::Duration kUnknownFlowLife = absl::Seconds(60);
 
+/// Flows that the answer to a query lists at most, so that it fits a datagram
+/// of 1280 bytes, the smallest MTU of IPv6 (RFC 8200, section 5), without
+/// names.
+inline constexpr size_t kMaxListedFlows = 240;
+
 /// Packets at the upstream that it may still hand back.
 inline constexpr size_t kMarkedPackets = 1024;
 
@@ -142,6 +147,7 @@
                  absl::Time now);
   bool IsOfThisFlow(const held_flow& held, const flow_packet& packet) const;
   inner::holder_claim ClaimOf(const flow_id& flow) const;
+  void ListFlows(inner::holder_answer* answer) const;
   void DeliverUnknown(const ipv4_address& balancer,
                       const inner::carried_packet& carried, const flow_id& flow,
                       absl::Time now);
--- a/src/flows/flow_agent_test.cc
+++ b/src/flows/flow_agent_test.cc
@@ -92,6 +92,13 @@
     agent.OnHolderQuery(kBalancer, query);
     return out.to_balancer.back().answer().claims(0);
   }
+  /// The answer to a query that names no flow.
+  inner::holder_answer Listing() {
+    inner::holder_query query;
+    query.set_asked_at(1);
+    agent.OnHolderQuery(kBalancer, query);
+    return out.to_balancer.back().answer();
+  }
   /// The packet of a search.
   void Try(const flow_packet& packet) {
     inner::carried_packet carried;
@@ -413,6 +420,47 @@
   BOOST_TEST(out.marks.size() == kRoom + 1);
 }
 
+// A search takes a flow that is not listed for one that is denied.
+BOOST_FIXTURE_TEST_CASE(AnAgentListsEachFlowThatItDoesNotDeny, fixture) {
+  BOOST_TEST(Listing().lists_all());
+  BOOST_TEST(Listing().listed_size() == 0);
+  BOOST_TEST(Listing().asked_at() == 1U);
+  Carry(FromCaller(true, 0));
+  BOOST_TEST(Claim() == inner::HOLDER_CLAIM_UNCERTAIN);
+  BOOST_REQUIRE(Listing().listed_size() == 1);
+  BOOST_TEST(Listing().listed(0) == ListedHashOf({kCaller, kHost}));
+  OpenFlow();
+  BOOST_TEST(Claim() == inner::HOLDER_CLAIM_HOLDS);
+  BOOST_TEST(Listing().listed_size() == 1);
+  flow_packet reset = FromUpstream(false);
+  reset.resetting = true;
+  agent.OnUpstreamPacket(reset, {}, kStart);
+  BOOST_TEST(Claim() == inner::HOLDER_CLAIM_UNCERTAIN);
+  BOOST_TEST(Listing().listed_size() == 1);
+}
+
+// Its upstream may hold flows that it has not seen.
+BOOST_FIXTURE_TEST_CASE(AnAgentThatStartedAfterItsUpstreamListsNothing,
+                        fixture) {
+  OpenFlow();
+  agent.OnUpstream(upstream_state::kServing, 2, false);
+  BOOST_TEST(!Listing().lists_all());
+  BOOST_TEST(Listing().listed_size() == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(AListThatFitsNoDatagramIsLeftOut, fixture) {
+  flow_packet packet = FromUpstream(false);
+  for (uint32_t i = 0; i < kMaxListedFlows; ++i) {
+    packet.destination.ip = kCaller.ip + i;
+    agent.OnUpstreamPacket(packet, {}, kStart);
+  }
+  BOOST_TEST(Listing().lists_all());
+  BOOST_TEST(Listing().ByteSizeLong() <= 1280U);
+  packet.destination.ip = kCaller.ip + kMaxListedFlows;
+  agent.OnUpstreamPacket(packet, {}, kStart);
+  BOOST_TEST(!Listing().lists_all());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/src/flows/flow_id.h
+++ b/src/flows/flow_id.h
@@ -36,6 +36,11 @@
 /// The same on every node and in every release.
 uint64_t HashOf(const flow_id& flow);
 
+/// The lower half of it, as holder_answer lists flows.
+inline uint32_t ListedHashOf(const flow_id& flow) {
+  return static_cast<uint32_t>(HashOf(flow));
+}
+
 /// The weight of an agent for a flow in rendezvous hashing.
 uint64_t RendezvousWeight(uint64_t flow_hash, const ipv4_address& agent);
 
--- a/src/flows/flow_searches.cc
+++ b/src/flows/flow_searches.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/container/flat_hash_set.h"
 #include "base/log.h"
 #include "base/metric_recorder.h"
 #include "flows/search_outlet.h"
@@ -13,16 +14,13 @@
 // How often searches that are over are looked for.
 constexpr absl::Duration kSearchSweepInterval = absl::Seconds(1);
 
-// What a query says of one flow.
-constexpr size_t kQueryBytes = 2 * sizeof(uint64_t);
-
 // Heads of a datagram: IP, UDP and those of the message.
 constexpr size_t kDatagramHeadBytes = 44;
 
 }  // namespace
 
 flow_searches::flow_searches(search_outlet* outlet, metric_recorder* recorder)
-    : outlet_(outlet), recorder_(recorder) {}
+    : outlet_(outlet), recorder_(recorder), queries_(outlet) {}
 
 void flow_searches::OnPacket(const flow_id& flow, const flow_packet& head,
                              absl::Span<const uint8_t> bytes, absl::Time now) {
@@ -51,6 +49,9 @@
   }
   const auto [found, is_new] = searches_.try_emplace(flow, now);
   flow_search& search = found->second;
+  if (is_new) {
+    search.listed_hash = ListedHashOf(flow);
+  }
   DropOldPackets(&search, now);
   search.holder.OnPacket();
   search.last = head;
@@ -68,14 +69,12 @@
   return &search;
 }
 
-void flow_searches::OnDenied(const ipv4_address& agent, const flow_id& flow,
-                             absl::Time now) {
+void flow_searches::OnDenied(const ipv4_address& agent, const flow_id& flow) {
   flow_search& search = searches_.find(flow)->second;
   search.holder.OnDenied(agent);
   if (search.presumed == agent) {
     ForgetPresumption(flow, &search);
   }
-  GoOn(flow, now);
 }
 
 void flow_searches::GoOn(const flow_id& flow, absl::Time now) {
@@ -93,6 +92,18 @@
 void flow_searches::OnAnswer(const ipv4_address& agent,
                              const inner::holder_answer& answer,
                              absl::Time now) {
+  const bool wants_names = queries_.OnAnswer(agent, answer);
+  OnClaims(agent, answer, now);
+  if (answer.has_asked_at() && answer.lists_all()) {
+    OnListing(agent, answer, now);
+  } else if (wants_names) {
+    NameFlowsTo(agent, now);
+  }
+}
+
+void flow_searches::OnClaims(const ipv4_address& agent,
+                             const inner::holder_answer& answer,
+                             absl::Time now) {
   const std::vector<flow_id> flows = FlowsOf(answer.flows());
   const size_t count =
       std::min(flows.size(), static_cast<size_t>(answer.claims_size()));
@@ -106,7 +117,8 @@
         Conclude(flows[i], agent, true, now);
         break;
       case inner::HOLDER_CLAIM_DENIES:
-        OnDenied(agent, flows[i], now);
+        OnDenied(agent, flows[i]);
+        GoOn(flows[i], now);
         break;
       case inner::HOLDER_CLAIM_UNCERTAIN:
         found->second.holder.OnUncertain(agent);
@@ -122,6 +134,52 @@
   }
 }
 
+// A flow that is not listed is not at the agent. One that is may share its hash
+// with another, so that the agent is asked for it by name.
+void flow_searches::OnListing(const ipv4_address& agent,
+                              const inner::holder_answer& answer,
+                              absl::Time now) {
+  budget_.Spend(static_cast<size_t>(answer.listed_size()) * sizeof(uint32_t));
+  const absl::flat_hash_set<uint32_t> listed(answer.listed().begin(),
+                                             answer.listed().end());
+  const auto asked_at = static_cast<int64_t>(answer.asked_at());
+  std::vector<flow_id> denied;
+  std::vector<flow_id> possible;
+  for (const auto& [flow, search] : searches_) {
+    if (absl::ToUnixNanos(search.holder.began_at()) > asked_at) {
+      continue;
+    }
+    const bool is_listed = listed.contains(search.listed_hash);
+    (is_listed ? possible : denied).push_back(flow);
+  }
+  for (const flow_id& flow : possible) {
+    if (searches_.find(flow)->second.holder.OnAsked(agent, now)) {
+      AskByName(agent, flow, now);
+    }
+  }
+  for (const flow_id& flow : denied) {
+    OnDenied(agent, flow);
+    const flow_search& search = searches_.find(flow)->second;
+    // Nobody else is asked for a caller that seems to have gone.
+    if (search.GoesOn(now) || search.holder.AllDeny()) {
+      GoOn(flow, now);
+    }
+  }
+}
+
+// The agent has started again beside its upstream, so that it does not know of
+// flows any more that were not named.
+void flow_searches::NameFlowsTo(const ipv4_address& agent, absl::Time now) {
+  std::vector<flow_id> flows;
+  for (auto& [flow, search] : searches_) {
+    search.holder.OnNotAsked(agent);
+    flows.push_back(flow);
+  }
+  for (const flow_id& flow : flows) {
+    GoOn(flow, now);
+  }
+}
+
 void flow_searches::OnHolder(const ipv4_address& agent, const flow_id& flow,
                              absl::Time now) {
   if (searches_.contains(flow)) {
@@ -141,7 +199,7 @@
                             absl::Time now) {
   const auto found = searches_.find(flow);
   if (found != searches_.end() && found->second.presumed == presumed) {
-    Ask(presumed, flow);
+    AskByName(presumed, flow, now);
     found->second.confirm_by =
         std::min(found->second.confirm_by, now + kSearchPatience);
     next_ = std::min(next_, found->second.confirm_by);
@@ -192,22 +250,23 @@
     return;
   }
   flow_search& search = found->second;
-  if (!budget_.Allows(now)) {
-    search.due = budget_.AllowsFrom();
-    next_ = std::min(next_, search.due);
-    return;
-  }
+  // Answers to the queries of other searches count from here on.
   if (search.list_version != list_version_) {
     search.list_version = list_version_;
     search.holder.OnCandidates(outlet_->CandidatesFor(flow, now), IsSettled());
   }
+  if (!budget_.Allows(now) || budget_is_short_) {
+    budget_is_short_ = true;
+    search.due = budget_.AllowsFrom();
+    next_ = std::min(next_, search.due);
+    return;
+  }
   const search_step step = search.holder.Next(!search.packets.empty(), now);
   for (const ipv4_address& agent : step.unanswered) {
     outlet_->OnUnanswered(agent, now);
   }
   for (const ipv4_address& agent : step.ask) {
-    Ask(agent, flow);
-    search.bytes_sent += kQueryBytes;
+    Ask(agent, flow, &search, now);
   }
   for (const ipv4_address& agent : step.try_at) {
     Try(agent, &search);
@@ -239,19 +298,24 @@
   next_ = std::min(next_, search.due);
 }
 
-void flow_searches::Ask(const ipv4_address& agent, const flow_id& flow) {
+void flow_searches::Ask(const ipv4_address& agent, const flow_id& flow,
+                        flow_search* search, absl::Time now) {
   recorder_->Add(metric::kFlowsSearched);
-  recorder_->Add(metric::kSearchBytes, kQueryBytes);
-  budget_.Spend(kQueryBytes);
-  inner::holder_query& query = queries_[agent];
-  if (query.flows().callers_size() == 0) {
-    budget_.Spend(kDatagramHeadBytes);
-  }
-  AddFlow(flow, query.mutable_flows());
-  if (query.flows().callers_size() >= kFlowsPerQuery) {
-    outlet_->Ask(agent, query);
-    queries_.erase(agent);
-  }
+  const size_t bytes =
+      queries_.Ask(agent, flow, search->holder.began_at(), now);
+  search->bytes_sent += bytes;
+  CountSent(bytes);
+}
+
+void flow_searches::AskByName(const ipv4_address& agent, const flow_id& flow,
+                              absl::Time now) {
+  recorder_->Add(metric::kFlowsSearched);
+  CountSent(queries_.AskByName(agent, flow, now));
+}
+
+void flow_searches::CountSent(size_t bytes) {
+  recorder_->Add(metric::kSearchBytes, bytes);
+  budget_.Spend(bytes);
 }
 
 void flow_searches::Try(const ipv4_address& agent, flow_search* search) {
@@ -346,13 +410,6 @@
   search->packets.erase(kept, search->packets.end());
 }
 
-void flow_searches::SendQueries() {
-  for (const auto& [agent, query] : queries_) {
-    outlet_->Ask(agent, query);
-  }
-  queries_.clear();
-}
-
 void flow_searches::Tick(absl::Time now) {
   if (now >= next_sweep_) {
     next_sweep_ = now + kSearchSweepInterval;
@@ -362,7 +419,7 @@
     StepAllDue(now);
     all_due_ = false;
   }
-  SendQueries();
+  queries_.Send(now);
 }
 
 void flow_searches::StepAllDue(absl::Time now) {
@@ -376,13 +433,29 @@
       next_ = std::min(next_, due);
     }
   }
-  for (const flow_id& flow : flows) {
+  budget_is_short_ = false;
+  for (const flow_id& flow : OldestFirst(std::move(flows))) {
     DropUnconfirmed(flow, now);
     Step(flow, now);
   }
 }
 
+// Where the budget does not allow all of them, some end soon, and answers to
+// their queries serve those that began later.
+std::vector<flow_id> flow_searches::OldestFirst(
+    std::vector<flow_id> flows) const {
+  const auto began_at = [this](const flow_id& flow) {
+    return searches_.find(flow)->second.holder.began_at();
+  };
+  std::sort(flows.begin(), flows.end(),
+            [&](const flow_id& a, const flow_id& b) {
+              return began_at(a) < began_at(b);
+            });
+  return flows;
+}
+
 void flow_searches::Sweep(absl::Time now) {
+  queries_.Sweep(now);
   for (auto search = searches_.begin(); search != searches_.end();) {
     const auto present = search++;
     DropOldPackets(&present->second, now);
--- a/src/flows/flow_searches.h
+++ b/src/flows/flow_searches.h
@@ -5,7 +5,6 @@
 #include <cstdint>
 #include <vector>
 
-#include "absl/container/btree_map.h"
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "absl/types/span.h"
@@ -13,6 +12,7 @@
 #include "flows/byte_budget.h"
 #include "flows/flow_id.h"
 #include "flows/held_packet.h"
+#include "flows/holder_queries.h"
 #include "flows/holder_search.h"
 #include "inner/flow_datagram.pb.h"
 
@@ -34,10 +34,6 @@
 /// is not made again. It goes on by itself for kHeldPacketLife.
 inline constexpr absl::Duration kSearchLife = absl::Seconds(5);
 
-/// Flows that one query names, so that the answer fits a datagram of 1280
-/// bytes, the smallest MTU of IPv6 (RFC 8200, section 5).
-inline constexpr int kFlowsPerQuery = 60;
-
 /// What searches may send, so that they leave room for packets whose way is
 /// known: a sixth of the 5 Mbit/s that the thinnest balancers have. And what
 /// they may send at once, as after a restart.
@@ -60,7 +56,7 @@
                     const flow_packet& head, absl::Span<const uint8_t> bytes,
                     absl::Time now);
 
-  /// An agent's claims, one a flow.
+  /// An agent's claims, one a flow, and the list of all its flows.
   void OnAnswer(const ipv4_address& agent, const inner::holder_answer& answer,
                 absl::Time now);
 
@@ -104,6 +100,8 @@
     }
 
     holder_search holder;
+    /// Of its flow, as agents list it.
+    uint32_t listed_hash = 0;
     std::vector<held_packet> packets;
     flow_packet last;
     absl::Time last_at;
@@ -126,12 +124,21 @@
 
   flow_search* AddPacket(const flow_id& flow, const flow_packet& head,
                          absl::Span<const uint8_t> bytes, absl::Time now);
-  void OnDenied(const ipv4_address& agent, const flow_id& flow, absl::Time now);
+  void OnClaims(const ipv4_address& agent, const inner::holder_answer& answer,
+                absl::Time now);
+  void OnListing(const ipv4_address& agent, const inner::holder_answer& answer,
+                 absl::Time now);
+  void NameFlowsTo(const ipv4_address& agent, absl::Time now);
+  void OnDenied(const ipv4_address& agent, const flow_id& flow);
+  void AskByName(const ipv4_address& agent, const flow_id& flow,
+                 absl::Time now);
+  void CountSent(size_t bytes);
   void GoOn(const flow_id& flow, absl::Time now);
   void DropUnconfirmed(const flow_id& flow, absl::Time now);
   void ForgetPresumption(const flow_id& flow, flow_search* search);
   void Step(const flow_id& flow, absl::Time now);
-  void Ask(const ipv4_address& agent, const flow_id& flow);
+  void Ask(const ipv4_address& agent, const flow_id& flow, flow_search* search,
+           absl::Time now);
   void Try(const ipv4_address& agent, flow_search* search);
   void Conclude(const flow_id& flow, const ipv4_address& agent, bool is_certain,
                 absl::Time now);
@@ -141,7 +148,7 @@
   void EndNowhere(const flow_id& flow, absl::Time now);
   void DropPackets(flow_search* search);
   void DropOldPackets(flow_search* search, absl::Time now);
-  void SendQueries();
+  std::vector<flow_id> OldestFirst(std::vector<flow_id> flows) const;
   void StepAllDue(absl::Time now);
   void Sweep(absl::Time now);
 
@@ -149,11 +156,12 @@
   metric_recorder* const recorder_;
   search_map searches_;
   byte_budget budget_{kSearchBytesPerSecond, kSearchBurstBytes};
+  /// A search waits for the budget, so that others wait for their turn.
+  bool budget_is_short_ = false;
   size_t held_packets_ = 0;
   absl::Time settled_as_of_ = absl::InfinitePast();
   absl::Time list_wanted_as_of_ = absl::InfinitePast();
-  /// Queries of this round.
-  absl::btree_map<ipv4_address, inner::holder_query> queries_;
+  holder_queries queries_;
   uint64_t list_version_ = 1;
   /// Searches go on, whatever their deadline.
   bool all_due_ = false;
--- /dev/null
+++ b/src/flows/holder_queries.h
@@ -0,0 +1,70 @@
+#ifndef CARDAMOMROUTE_FLOWS_HOLDER_QUERIES_H_
+#define CARDAMOMROUTE_FLOWS_HOLDER_QUERIES_H_
+
+#include <cstddef>
+
+#include "absl/container/btree_map.h"
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "base/ipv4_address.h"
+#include "flows/flow_id.h"
+#include "inner/flow_datagram.pb.h"
+
+namespace cardamomroute {
+
+class search_outlet;
+
+/// Flows that one query names, so that the answer fits a datagram of 1280
+/// bytes, the smallest MTU of IPv6 (RFC 8200, section 5).
+inline constexpr int kFlowsPerQuery = 60;
+
+/// How long it is remembered that an agent lists all its flows.
+inline constexpr absl::Duration kListingLife = absl::Seconds(5);
+
+/// The queries of a balancer's searches. Those of one round to one agent go
+/// together. An agent that lists all its flows is asked without naming any, and
+/// its answer serves every search that began before the query was sent.
+class holder_queries {
+ public:
+  explicit holder_queries(search_outlet* outlet) : outlet_(outlet) {}
+
+  /// Asks the agent for a flow whose search began at `began_at`, with the
+  /// queries of this round. Returns the bytes that this adds to what is sent; 0
+  /// where another query serves the search as well.
+  size_t Ask(const ipv4_address& agent, const flow_id& flow,
+             absl::Time began_at, absl::Time now);
+
+  /// The same, and names the flow whatever the agent lists.
+  size_t AskByName(const ipv4_address& agent, const flow_id& flow,
+                   absl::Time now);
+
+  /// Returns true where the agent was expected to list all its flows and does
+  /// not, so that searches have to name theirs.
+  bool OnAnswer(const ipv4_address& agent, const inner::holder_answer& answer);
+
+  /// Sends the queries of this round.
+  void Send(absl::Time now);
+
+  /// Forgets agents that were not asked for kListingLife.
+  void Sweep(absl::Time now);
+
+ private:
+  struct asked_agent {
+    bool lists_all = false;
+    /// When the latest query was sent.
+    absl::Time asked_at = absl::InfinitePast();
+    bool has_answered = false;
+  };
+
+  void SendTo(const ipv4_address& agent, inner::holder_query* query,
+              absl::Time now);
+
+  search_outlet* const outlet_;
+  absl::flat_hash_map<ipv4_address, asked_agent> agents_;
+  /// Of this round.
+  absl::btree_map<ipv4_address, inner::holder_query> queries_;
+};
+
+}  // namespace cardamomroute
+
+#endif  // CARDAMOMROUTE_FLOWS_HOLDER_QUERIES_H_
--- a/src/flows/holder_search.cc
+++ b/src/flows/holder_search.cc
@@ -62,6 +62,26 @@
   }
 }
 
+bool holder_search::OnAsked(const ipv4_address& agent, absl::Time now) {
+  asked_agent* asked = Find(agent);
+  if (asked == nullptr ||
+      (asked->said != claim::kNotAsked && asked->said != claim::kAwaited &&
+       asked->said != claim::kSilent)) {
+    return false;
+  }
+  Set(asked, claim::kAwaited);
+  asked->asked_at = now;
+  next_ = std::min(next_, now + kSearchPatience);
+  return true;
+}
+
+void holder_search::OnNotAsked(const ipv4_address& agent) {
+  asked_agent* asked = Find(agent);
+  if (asked != nullptr && asked->said == claim::kAwaited) {
+    Set(asked, claim::kNotAsked);
+  }
+}
+
 void holder_search::OnSilent(const ipv4_address& agent) {
   asked_agent* asked = Find(agent);
   if (asked != nullptr && asked->said == claim::kTried) {
@@ -111,8 +131,7 @@
     TryUncertain(now, &step);
   }
   AskAgain(now, &step);
-  step.is_nowhere =
-      !agents_.empty() && CountOf(claim::kDenied) == agents_.size();
+  step.is_nowhere = AllDeny();
   return step;
 }
 
--- a/src/flows/holder_search.h
+++ b/src/flows/holder_search.h
@@ -63,12 +63,22 @@
   void OnUncertain(const ipv4_address& agent) {
     Note(agent, claim::kUncertain);
   }
+  /// The agent is asked for the flow now, out of turn. Returns false where it
+  /// is no candidate or has said something that stands.
+  bool OnAsked(const ipv4_address& agent, absl::Time now);
+  /// The agent was not asked for the flow after all.
+  void OnNotAsked(const ipv4_address& agent);
   /// The flow was presumed to be there, and the agent is silent.
   void OnSilent(const ipv4_address& agent);
 
   /// False where Next has nothing before its deadline.
   bool CanGoOn() const;
 
+  /// Every candidate denies the flow.
+  bool AllDeny() const {
+    return !agents_.empty() && CountOf(claim::kDenied) == agents_.size();
+  }
+
   /// All were asked, and only those that are silent can still say something.
   bool WaitsForSilent() const {
     return CountOf(claim::kSilent) > 0 && CountOf(claim::kSilent) +
