A query names one flow to agents that are not known yet; lists take half

That filled links of 2 Mbit/s; half of the agents did not answer within 100 ms. Change: agents are expected to list. One that is not known yet is asked for one flow by name, further searches await its list, and name their flows where it has none. A list has two bytes a flow; a hash that two flows share costs a query by name.

--- a/src/flows/flow_agent.cc
+++ b/src/flows/flow_agent.cc
@@ -133,14 +133,14 @@
 void flow_agent::ListFlows(inner::holder_answer* answer) const {
   const size_t named_bytes = answer->flows().ByteSizeLong() +
                              static_cast<size_t>(answer->claims_size());
-  const size_t room = kMaxListedFlows * sizeof(uint32_t);
+  const size_t room = kMaxListedFlows * sizeof(listed_hash);
   if (!knows_all_flows_ ||
-      named_bytes + flows_.size() * sizeof(uint32_t) > room) {
+      named_bytes + flows_.size() * sizeof(listed_hash) > room) {
     return;
   }
   answer->set_lists_all(true);
   for (const auto& [flow, held] : flows_) {
-    answer->add_listed(ListedHashOf(flow));
+    AddListed(flow, answer->mutable_listed());
   }
 }
 
--- a/src/flows/flow_agent.h
+++ b/src/flows/flow_agent.h
@@ -61,7 +61,7 @@
 /// Flows that the answer to a query lists at most, so that it fits a datagram
 /// of 1280 bytes, the smallest MTU of IPv6 (RFC 8200, section 5), without
 /// names.
-inline constexpr size_t kMaxListedFlows = 240;
+inline constexpr size_t kMaxListedFlows = 480;
 
 /// Packets at the upstream that it may still hand back.
 inline constexpr size_t kMarkedPackets = 1024;
--- a/src/flows/flow_id.cc
+++ b/src/flows/flow_id.cc
@@ -13,6 +13,7 @@
 constexpr uint64_t kFlowSeed = 0x63617264616d6f70ULL;
 constexpr uint64_t kServiceSeed = 0x7365727669636531ULL;
 constexpr int kPortBits = 16;
+constexpr int kByteBits = 8;
 
 // Words, so that the hash does not depend on how a struct is padded.
 uint64_t WordOf(const ipv4_address& address) {
@@ -57,6 +58,23 @@
   return flows;
 }
 
+void AddListed(const flow_id& flow, std::string* listed) {
+  const listed_hash hash = ListedHashOf(flow);
+  listed->push_back(static_cast<char>(hash));
+  listed->push_back(static_cast<char>(hash >> kByteBits));
+}
+
+std::vector<listed_hash> HashesOf(std::string_view listed) {
+  std::vector<listed_hash> hashes;
+  hashes.reserve(listed.size() / sizeof(listed_hash));
+  for (size_t i = 0; i + 1 < listed.size(); i += sizeof(listed_hash)) {
+    const auto low = static_cast<uint8_t>(listed[i]);
+    const auto high = static_cast<uint8_t>(listed[i + 1]);
+    hashes.push_back(static_cast<listed_hash>(low | high << kByteBits));
+  }
+  return hashes;
+}
+
 uint64_t HashOfService(std::string_view name) {
   return XXH64(name.data(), name.size(), kServiceSeed);
 }
--- a/src/flows/flow_id.h
+++ b/src/flows/flow_id.h
@@ -36,11 +36,18 @@
 /// The same on every node and in every release.
 uint64_t HashOf(const flow_id& flow);
 
-/// The lower half of it, as holder_answer lists flows.
-inline uint32_t ListedHashOf(const flow_id& flow) {
-  return static_cast<uint32_t>(HashOf(flow));
+/// The lowest bytes of it, as holder_answer lists flows.
+using listed_hash = uint16_t;
+inline listed_hash ListedHashOf(const flow_id& flow) {
+  return static_cast<listed_hash>(HashOf(flow));
 }
 
+/// Adds a flow to `listed` of a holder_answer.
+void AddListed(const flow_id& flow, std::string* listed);
+
+/// The hashes in `listed`.
+std::vector<listed_hash> HashesOf(std::string_view listed);
+
 /// The weight of an agent for a flow in rendezvous hashing.
 uint64_t RendezvousWeight(uint64_t flow_hash, const ipv4_address& agent);
 
--- a/src/flows/flow_searches.cc
+++ b/src/flows/flow_searches.cc
@@ -50,7 +50,7 @@
   const auto [found, is_new] = searches_.try_emplace(flow, now);
   flow_search& search = found->second;
   if (is_new) {
-    search.listed_hash = ListedHashOf(flow);
+    search.hash = ListedHashOf(flow);
   }
   DropOldPackets(&search, now);
   search.holder.OnPacket();
@@ -139,9 +139,9 @@
 void flow_searches::OnListing(const ipv4_address& agent,
                               const inner::holder_answer& answer,
                               absl::Time now) {
-  budget_.Spend(static_cast<size_t>(answer.listed_size()) * sizeof(uint32_t));
-  const absl::flat_hash_set<uint32_t> listed(answer.listed().begin(),
-                                             answer.listed().end());
+  budget_.Spend(answer.listed().size());
+  const std::vector<listed_hash> hashes = HashesOf(answer.listed());
+  const absl::flat_hash_set<listed_hash> listed(hashes.begin(), hashes.end());
   const auto asked_at = static_cast<int64_t>(answer.asked_at());
   std::vector<flow_id> denied;
   std::vector<flow_id> possible;
@@ -149,7 +149,7 @@
     if (absl::ToUnixNanos(search.holder.began_at()) > asked_at) {
       continue;
     }
-    const bool is_listed = listed.contains(search.listed_hash);
+    const bool is_listed = listed.contains(search.hash);
     (is_listed ? possible : denied).push_back(flow);
   }
   for (const flow_id& flow : possible) {
--- a/src/flows/flow_searches.h
+++ b/src/flows/flow_searches.h
@@ -101,7 +101,7 @@
 
     holder_search holder;
     /// Of its flow, as agents list it.
-    uint32_t listed_hash = 0;
+    listed_hash hash = 0;
     std::vector<held_packet> packets;
     flow_packet last;
     absl::Time last_at;
--- a/src/flows/holder_queries.cc
+++ b/src/flows/holder_queries.cc
@@ -19,16 +19,21 @@
 
 size_t holder_queries::Ask(const ipv4_address& agent, const flow_id& flow,
                            absl::Time began_at, absl::Time now) {
-  const auto asked = agents_.find(agent);
-  if (asked == agents_.end() || !asked->second.lists_all) {
+  const auto found = agents_.find(agent);
+  const asked_agent asked =
+      found != agents_.end() ? found->second : asked_agent();
+  if (asked.lists == listing::kNone) {
     return AskByName(agent, flow, now);
   }
-  const bool is_answer_under_way =
-      !asked->second.has_answered && asked->second.asked_at >= began_at &&
-      now < asked->second.asked_at + kSearchPatience;
+  const bool is_answer_under_way = !asked.has_answered &&
+                                   asked.asked_at >= began_at &&
+                                   now < asked.asked_at + kSearchPatience;
   if (is_answer_under_way || queries_.contains(agent)) {
     return 0;
   }
+  if (asked.lists == listing::kUnknown) {
+    return AskByName(agent, flow, now);
+  }
   queries_[agent];
   return kQueryHeadBytes;
 }
@@ -50,12 +55,12 @@
   if (asked == agents_.end() || !answer.has_asked_at()) {
     return false;
   }
-  const bool listed_before = asked->second.lists_all;
-  asked->second.lists_all = answer.lists_all();
+  const bool was_expected = asked->second.lists != listing::kNone;
+  asked->second.lists = answer.lists_all() ? listing::kAll : listing::kNone;
   asked->second.has_answered =
       answer.asked_at() ==
       static_cast<uint64_t>(absl::ToUnixNanos(asked->second.asked_at));
-  return listed_before && !answer.lists_all();
+  return was_expected && !answer.lists_all();
 }
 
 void holder_queries::Send(absl::Time now) {
--- a/src/flows/holder_queries.h
+++ b/src/flows/holder_queries.h
@@ -2,6 +2,7 @@
 #define CARDAMOMROUTE_FLOWS_HOLDER_QUERIES_H_
 
 #include <cstddef>
+#include <cstdint>
 
 #include "absl/container/btree_map.h"
 #include "absl/container/flat_hash_map.h"
@@ -18,12 +19,13 @@
 /// bytes, the smallest MTU of IPv6 (RFC 8200, section 5).
 inline constexpr int kFlowsPerQuery = 60;
 
-/// How long it is remembered that an agent lists all its flows.
+/// How long it is remembered whether an agent lists all its flows.
 inline constexpr absl::Duration kListingLife = absl::Seconds(5);
 
 /// The queries of a balancer's searches. Those of one round to one agent go
-/// together. An agent that lists all its flows is asked without naming any, and
-/// its answer serves every search that began before the query was sent.
+/// together. The answer of an agent that lists all its flows serves every
+/// search that began before the query was sent. So agents are expected to list,
+/// and a query names flows only where the agent is not known to.
 class holder_queries {
  public:
   explicit holder_queries(search_outlet* outlet) : outlet_(outlet) {}
@@ -49,8 +51,10 @@
   void Sweep(absl::Time now);
 
  private:
+  enum class listing : uint8_t { kUnknown, kAll, kNone };
+
   struct asked_agent {
-    bool lists_all = false;
+    listing lists = listing::kUnknown;
     /// When the latest query was sent.
     absl::Time asked_at = absl::InfinitePast();
     bool has_answered = false;
