A search counts no agent as asked that names were not sent to

Cause: an agent that does not list its flows is asked a second time, by name, and counted twice, so that upstreams were tried with packets once eight agents were asked, not twelve. Change: an agent that was not asked after all is not counted, and the size of a round follows from that count: 4, 8, 16 as before. Measured: UpstreamsAreTriedOnceTheLikelyHoldersWereAskedByName fails without it (8 for 12 agents).

--- a/src/flows/holder_search.cc
+++ b/src/flows/holder_search.cc
@@ -69,6 +69,7 @@
        asked->said != claim::kSilent)) {
     return false;
   }
+  asked_ += asked->said == claim::kNotAsked ? 1 : 0;
   Set(asked, claim::kAwaited);
   asked->asked_at = now;
   next_ = std::min(next_, now + kSearchPatience);
@@ -79,6 +80,7 @@
   asked_agent* asked = Find(agent);
   if (asked != nullptr && asked->said == claim::kAwaited) {
     Set(asked, claim::kNotAsked);
+    --asked_;
   }
 }
 
@@ -157,8 +159,9 @@
   if (CountOf(claim::kNotAsked) == 0) {
     return;
   }
+  const size_t round = asked_ + kFirstAsked;
   for (asked_agent& asked : agents_) {
-    if (step->ask.size() >= next_asked_) {
+    if (step->ask.size() >= round) {
       break;
     }
     if (asked.said == claim::kNotAsked) {
@@ -178,7 +181,6 @@
     }
   }
   asked_ += step->ask.size();
-  next_asked_ *= 2;
   silent_asked_at_ = now;
   ask_again_at_ = now + kReaskInterval;
   next_ = now + kSearchPatience;
--- a/src/flows/holder_search.h
+++ b/src/flows/holder_search.h
@@ -144,8 +144,8 @@
   std::vector<asked_agent> agents_;
   /// Of `agents_`, by what they said.
   std::array<size_t, kClaims> counts_{};
+  /// Agents that were asked.
   size_t asked_ = 0;
-  size_t next_asked_ = kFirstAsked;
   size_t next_tried_ = kFirstTried;
   size_t tries_ = 0;
   /// When silent agents were asked last, and are asked again.
--- a/src/flows/holder_search_test.cc
+++ b/src/flows/holder_search_test.cc
@@ -47,6 +47,29 @@
   BOOST_TEST(search.Next(true, kStart).is_nowhere);
 }
 
+// Pattern: all processes but the upstreams are killed. Agents that were
+// expected to list their flows do not, and are asked again by name.
+BOOST_AUTO_TEST_CASE(UpstreamsAreTriedOnceTheLikelyHoldersWereAskedByName) {
+  holder_search search(kStart);
+  search.OnCandidates(Candidates(54), true);
+  std::vector<ipv4_address> uncertain;
+  search_step step = search.Next(true, kStart);
+  while (step.try_at.empty()) {
+    for (const ipv4_address& agent : step.ask) {
+      search.OnNotAsked(agent);
+    }
+    step = search.Next(true, kStart);
+    BOOST_REQUIRE(!step.ask.empty());
+    for (const ipv4_address& agent : step.ask) {
+      BOOST_TEST(!IsIn(uncertain, agent));
+      uncertain.push_back(agent);
+      search.OnUncertain(agent);
+    }
+    step = search.Next(true, kStart);
+  }
+  BOOST_TEST(uncertain.size() == kLikelyHolders);
+}
+
 BOOST_AUTO_TEST_CASE(NothingIsSentWhileAnswersAreAwaited) {
   holder_search search(kStart);
   const std::vector<search_candidate> candidates = Candidates(20);
