A search asks the likely holders of other services before unlikely ones

An agent that had not heard its upstream yet came last as well. Change: the kLikelyHolders likeliest of each share, then as many of other services, then the rest. Only an upstream that has ended is an unlikely holder.

--- a/src/flows/upstream_table.cc
+++ b/src/flows/upstream_table.cc
@@ -5,27 +5,56 @@
 #include <tuple>
 #include <utility>
 
+#include "flows/holder_search.h"
+
 namespace cardamomroute {
 namespace {
 
 using ranked_index = std::pair<uint64_t, size_t>;
 
-/// Where an upstream stands in the search for a flow; the lowest is asked
-/// first.
+/// Where an upstream stands in the search for a flow.
 struct search_rank {
   /// Place of its service among the shares of the route, as the flow's hash
-  /// chooses among them.
+  /// chooses among them; behind them for other services.
   size_t share = 0;
-  bool lacks_upstream = false;
+  uint64_t service = 0;
+  bool has_ended = false;
   uint64_t weight = 0;
   const known_upstream* known = nullptr;
   bool is_reachable = false;
+  /// Place among the upstreams of its service.
+  size_t rank = 0;
+};
 
-  friend bool operator<(const search_rank& a, const search_rank& b) {
-    return std::tie(a.share, a.lacks_upstream, b.weight) <
-           std::tie(b.share, b.lacks_upstream, a.weight);
+bool IsBeforeInItsService(const search_rank& a, const search_rank& b) {
+  return std::tie(a.share, a.service, a.has_ended, b.weight) <
+         std::tie(b.share, b.service, b.has_ended, a.weight);
+}
+
+bool IsBeforeInItsShare(const search_rank& a, const search_rank& b) {
+  return std::tie(a.share, a.rank, b.weight) <
+         std::tie(b.share, b.rank, a.weight);
+}
+
+// The first of each share go before the rest of any: a flow was placed among
+// the first of its service, also where that one has the route no more.
+void SortBySearch(std::vector<search_rank>* ranked) {
+  std::sort(ranked->begin(), ranked->end(), &IsBeforeInItsService);
+  for (size_t i = 1; i < ranked->size(); ++i) {
+    const search_rank& before = (*ranked)[i - 1];
+    search_rank& item = (*ranked)[i];
+    item.rank = item.service == before.service ? before.rank + 1 : 0;
   }
-};
+  std::sort(ranked->begin(), ranked->end(), &IsBeforeInItsShare);
+  size_t share = 0;
+  size_t place = 0;
+  std::stable_partition(ranked->begin(), ranked->end(),
+                        [&](const search_rank& item) {
+                          place = item.share == share ? place : 0;
+                          share = item.share;
+                          return place++ < kLikelyHolders;
+                        });
+}
 
 /// The services of the route, the one that the flow was placed at first; others
 /// where its upstreams had no room.
@@ -155,14 +184,12 @@
     }
     const auto service =
         std::find(services.begin(), services.end(), item.service);
-    const bool has_upstream = item.known.state == upstream_state::kServing ||
-                              item.known.state == upstream_state::kDraining;
     ranked.push_back({static_cast<size_t>(service - services.begin()),
-                      !has_upstream,
+                      item.service, item.known.state == upstream_state::kEnded,
                       RendezvousWeight(flow_hash, item.known.agent),
                       &item.known, is_reachable});
   }
-  std::sort(ranked.begin(), ranked.end());
+  SortBySearch(&ranked);
   std::vector<search_candidate> order;
   order.reserve(ranked.size());
   for (const search_rank& rank : ranked) {
--- a/src/flows/upstream_table.h
+++ b/src/flows/upstream_table.h
@@ -49,10 +49,10 @@
   ipv4_address Place(uint64_t flow_hash, const flow_route& route,
                      absl::Span<const ipv4_address> tried, absl::Time now);
 
-  /// All agents whose upstream may hold the flow, in the order in which it was
-  /// placed: service by service as the route's shares have it, the likeliest of
-  /// each first. Last come other services, which the route may have had in an
-  /// older configuration. An upstream that has ended and whose agent is not
+  /// All agents whose upstream may hold the flow: the kLikelyHolders likeliest
+  /// of each service, in the order of the route's shares, then as many of other
+  /// services, which the route may have had in an older configuration, then the
+  /// rest in the same order. An upstream that has ended and whose agent is not
   /// likely to answer is left out.
   std::vector<search_candidate> SearchOrder(uint64_t flow_hash,
                                             const flow_route& route,
