Few upstreams are tried at once, and agents are asked before one is presumed

Cause: after a kill of all processes no agent can tell, so upstreams are tried with packets, each round twice as large, up to 64 at once and more. Change: eight at once at most. Where several have said nothing in time, their agents are asked what they have seen first, once. A single one is presumed as before. Measured: AgentsThatSayNothingAreAskedBeforeOneIsPresumed and FewUpstreamsAreTriedAtOnce fail without it. ThoseThatWereTriedInVainArePresumedByTurns now has the question in between, and the same presumptions after it.

--- a/src/flows/holder_search.cc
+++ b/src/flows/holder_search.cc
@@ -120,6 +120,9 @@
     return step;
   }
   Presume(now, &step);
+  if (!step.ask.empty()) {
+    return step;
+  }
   if (CountOf(claim::kTried) == 0 && has_packet && asked_ >= kLikelyHolders) {
     TryUncertain(now, &step);
   }
@@ -203,20 +206,28 @@
   next_ = std::min(next_, ask_again_at_);
 }
 
-// Upstreams hand back at once what is not theirs.
+// Upstreams hand back at once what is not theirs. One of them holds the flow at
+// most, so where several say nothing, packets or answers are lost or late, and
+// their agents are first asked for what they have seen.
 void holder_search::Presume(absl::Time now, search_step* step) {
-  if (CountOf(claim::kTried) == 0) {
-    return;
-  }
-  for (const asked_agent& asked : agents_) {
+  const bool may_presume = CountOf(claim::kTried) == 1;
+  for (asked_agent& asked : agents_) {
     if (asked.said != claim::kTried) {
       continue;
     }
     const absl::Time due = asked.tried_at + kTryPatience;
-    next_ = std::min(next_, due);
-    if (now >= due) {
+    if (now < due) {
+      next_ = std::min(next_, due);
+    } else if (may_presume || asked.was_asked_again) {
       step->presumed = asked.candidate.agent;
+      next_ = std::min(next_, due);
       return;
+    } else {
+      Set(&asked, claim::kAwaited);
+      asked.was_asked_again = true;
+      asked.asked_at = now;
+      step->ask.push_back(asked.candidate.agent);
+      next_ = std::min(next_, now + kSearchPatience);
     }
   }
 }
@@ -238,7 +249,9 @@
     return;
   }
   tries_ += step->try_at.size();
-  next_tried_ *= may_be_silent ? 1 : 2;
+  if (!may_be_silent) {
+    next_tried_ = std::min(2 * next_tried_, kMostTriedAtOnce);
+  }
   next_ = std::min(next_, now + kTryPatience);
 }
 
--- a/src/flows/holder_search.h
+++ b/src/flows/holder_search.h
@@ -35,8 +35,11 @@
 inline constexpr absl::Duration kReaskInterval = absl::Milliseconds(300);
 
 /// Upstreams that are tried at once in the beginning, where every agent has
-/// answered and the holder is among them. Each further round is twice as large.
+/// answered and the holder is among them. Each further round is twice as large,
+/// up to the most: packets that are sent at once wait for one another on thin
+/// links.
 inline constexpr size_t kFirstTried = 2;
+inline constexpr size_t kMostTriedAtOnce = 8;
 
 /// Upstreams that are tried at most where a silent agent, or one that is not
 /// known yet, may be the holder's.
@@ -119,6 +122,8 @@
     claim said = claim::kNotAsked;
     absl::Time asked_at = absl::InfinitePast();
     absl::Time tried_at = absl::InfinitePast();
+    /// It was asked again after it was tried.
+    bool was_asked_again = false;
   };
 
   /// Null where it is no candidate.
--- a/src/flows/holder_search_test.cc
+++ b/src/flows/holder_search_test.cc
@@ -157,6 +157,47 @@
   BOOST_TEST(IsIn(search.Next(true, later).try_at, Agent(0)));
 }
 
+// Pattern: all processes are killed, and links are choked as callers come back.
+// Of 8,106 upstreams that were presumed to hold a flow 7,724 did not.
+BOOST_AUTO_TEST_CASE(AgentsThatSayNothingAreAskedBeforeOneIsPresumed) {
+  holder_search search(kStart);
+  search.OnCandidates(Candidates(3), true);
+  search.Next(true, kStart);
+  for (size_t i = 0; i < 3; ++i) {
+    search.OnUncertain(Agent(i));
+  }
+  BOOST_TEST(search.Next(true, kStart).try_at.size() == 2U);
+  const absl::Time later = kStart + kTryPatience;
+  const search_step step = search.Next(true, later);
+  BOOST_TEST(step.ask.size() == 2U);
+  BOOST_TEST((step.presumed == ipv4_address()));
+  // Their answers were lost.
+  search.OnDenied(Agent(0));
+  search.OnDenied(Agent(1));
+  BOOST_TEST(IsIn(search.Next(true, later).try_at, Agent(2)));
+}
+
+// Pattern: after a kill of all processes no agent can tell. Packets to all
+// upstreams at once would wait for one another on the balancer's link.
+BOOST_AUTO_TEST_CASE(FewUpstreamsAreTriedAtOnce) {
+  constexpr size_t kAgents = 204;
+  holder_search search(kStart);
+  search.OnCandidates(Candidates(kAgents), true);
+  size_t tried = 0;
+  for (size_t round = 0; round < kAgents && tried < kAgents; ++round) {
+    const search_step step = search.Next(true, kStart);
+    for (const ipv4_address& agent : step.ask) {
+      search.OnUncertain(agent);
+    }
+    BOOST_TEST(step.try_at.size() <= kMostTriedAtOnce);
+    for (const ipv4_address& agent : step.try_at) {
+      search.OnDenied(agent);
+    }
+    tried += step.try_at.size();
+  }
+  BOOST_TEST(tried == kAgents);
+}
+
 // Pattern: packets are lost on the way to upstreams that are tried.
 BOOST_AUTO_TEST_CASE(ThoseThatWereTriedInVainArePresumedByTurns) {
   holder_search search(kStart);
@@ -165,7 +206,12 @@
   search.OnUncertain(Agent(0));
   search.OnUncertain(Agent(1));
   BOOST_TEST(search.Next(true, kStart).try_at.size() == 2U);
-  const absl::Time later = kStart + kTryPatience;
+  const absl::Time again = kStart + kTryPatience;
+  BOOST_TEST(search.Next(true, again).ask.size() == 2U);
+  search.OnUncertain(Agent(0));
+  search.OnUncertain(Agent(1));
+  BOOST_TEST(search.Next(true, again).try_at.size() == 2U);
+  const absl::Time later = again + kTryPatience;
   BOOST_TEST((search.Next(true, later).presumed == Agent(0)));
   search.OnDenied(Agent(0));
   BOOST_TEST((search.NextDeadline() <= later));
