Only likely holders are asked while they may not be tried

Cause: while the list of upstreams is not whole, or an agent is silent, two upstreams may be tried. One reason why agents were silent for so long: a query to an agent that has never answered names one flow, and the other searches had it as silent until their next round, up to 1.2 s. Change: such a search waits up to 1 s before it asks others, by when control says who has gone. An agent that answers for the first time is silent no more.

--- a/src/flows/holder_search.cc
+++ b/src/flows/holder_search.cc
@@ -78,7 +78,8 @@
 
 void holder_search::OnNotAsked(const ipv4_address& agent) {
   asked_agent* asked = Find(agent);
-  if (asked != nullptr && asked->said == claim::kAwaited) {
+  if (asked != nullptr &&
+      (asked->said == claim::kAwaited || asked->said == claim::kSilent)) {
     Set(asked, claim::kNotAsked);
     --asked_;
   }
@@ -126,7 +127,7 @@
   if (CountOf(claim::kTried) == 0 && has_packet && asked_ >= kLikelyHolders) {
     TryUncertain(now, &step);
   }
-  if (CountOf(claim::kTried) == 0) {
+  if (CountOf(claim::kTried) == 0 && !IsHeldBack(now)) {
     AskMore(now, &step);
   }
   if (!step.ask.empty()) {
@@ -158,6 +159,24 @@
   }
 }
 
+// A likely holder that cannot tell and may not be tried yet: agents that are
+// missing or silent are soon back, or known to have gone. Meanwhile to ask all
+// others would use up the budget of all searches.
+bool holder_search::IsHeldBack(absl::Time now) {
+  if (asked_ < kLikelyHolders || CountOf(claim::kUncertain) == 0 ||
+      CountOf(claim::kNotAsked) == 0 || TriesAllowed(MayBeSilent()) > 0) {
+    return false;
+  }
+  if (held_back_until_ == absl::InfinitePast()) {
+    held_back_until_ = now + kHoldBack;
+  }
+  if (now < held_back_until_) {
+    next_ = std::min(next_, held_back_until_);
+    return true;
+  }
+  return false;
+}
+
 void holder_search::AskMore(absl::Time now, search_step* step) {
   if (CountOf(claim::kNotAsked) == 0) {
     return;
--- a/src/flows/holder_search.h
+++ b/src/flows/holder_search.h
@@ -26,6 +26,10 @@
 /// answer counts. Callers repeat a packet after 200 ms.
 inline constexpr absl::Duration kSearchPatience = absl::Milliseconds(100);
 
+/// How long a search that may not try its likely holders asks no others: by
+/// then control says which agents have gone.
+inline constexpr absl::Duration kHoldBack = absl::Seconds(1);
+
 /// An upstream that has not handed back a packet for so long is presumed to
 /// hold its flow: it does so at once, but links may be full.
 inline constexpr absl::Duration kTryPatience = absl::Milliseconds(400);
@@ -69,7 +73,7 @@
   /// The agent is asked for the flow now, out of turn. Returns false where it
   /// is no candidate or has said something that stands.
   bool OnAsked(const ipv4_address& agent, absl::Time now);
-  /// The agent was not asked for the flow after all.
+  /// The agent answers, but was not asked for the flow after all.
   void OnNotAsked(const ipv4_address& agent);
   /// The flow was presumed to be there, and the agent is silent.
   void OnSilent(const ipv4_address& agent);
@@ -138,6 +142,7 @@
   bool MayBeSilent() const;
   size_t TriesAllowed(bool may_be_silent) const;
   void ExpireAwaited(absl::Time now, search_step* step);
+  bool IsHeldBack(absl::Time now);
   void AskMore(absl::Time now, search_step* step);
   void AskAgain(absl::Time now, search_step* step);
   void Presume(absl::Time now, search_step* step);
@@ -156,6 +161,9 @@
   /// When silent agents were asked last, and are asked again.
   absl::Time silent_asked_at_ = absl::InfinitePast();
   absl::Time ask_again_at_ = absl::InfiniteFuture();
+  /// Until then only likely holders are asked; infinitely long ago where that
+  /// was never needed.
+  absl::Time held_back_until_ = absl::InfinitePast();
   absl::Time next_ = absl::InfinitePast();
 };
 
--- a/src/flows/holder_search_test.cc
+++ b/src/flows/holder_search_test.cc
@@ -145,6 +145,23 @@
   BOOST_TEST(!search.Next(true, kStart).try_at.empty());
 }
 
+// Pattern: agents start again later than balancers. What is sent to an agent
+// that has never answered names one flow; searches of the others had it as
+// silent until they asked silent ones again, up to 1.2 s later.
+BOOST_AUTO_TEST_CASE(AnAgentThatAnswersForTheFirstTimeIsSilentNoMore) {
+  holder_search search(kStart);
+  search.OnCandidates(Candidates(2), true);
+  search.Next(true, kStart);
+  search.OnDenied(Agent(1));
+  const absl::Time later = kStart + kSearchPatience;
+  search.Next(true, later);
+  BOOST_TEST(search.silent() == 1U);
+  search.OnNotAsked(Agent(0));
+  BOOST_TEST(search.silent() == 0U);
+  BOOST_TEST(search.CanGoOn());
+  BOOST_TEST(IsIn(search.Next(true, later).ask, Agent(0)));
+}
+
 BOOST_AUTO_TEST_CASE(AnAgentThatIsBackIsAskedAndTriedAtOnce) {
   holder_search search(kStart);
   const std::vector<search_candidate> candidates = Candidates(2);
@@ -177,6 +194,42 @@
   BOOST_TEST(IsIn(search.Next(true, later).try_at, Agent(2)));
 }
 
+// Pattern: all processes are killed, and the list of upstreams is not whole
+// yet. Searches that asked every agent used up the budget of those that came
+// later.
+BOOST_AUTO_TEST_CASE(OnlyLikelyHoldersAreAskedWhileTheyMayNotBeTried) {
+  constexpr size_t kAgents = 204;
+  holder_search search(kStart);
+  search.OnCandidates(Candidates(kAgents), false);
+  size_t tried = 0;
+  const auto go_on = [&](absl::Time now) {
+    const search_step step = search.Next(true, now);
+    for (const ipv4_address& agent : step.ask) {
+      search.OnUncertain(agent);
+    }
+    for (const ipv4_address& agent : step.try_at) {
+      search.OnDenied(agent);
+    }
+    tried += step.try_at.size();
+  };
+  absl::Time now = kStart;
+  for (; now < kStart + kHoldBack; now += kSearchPatience) {
+    go_on(now);
+  }
+  BOOST_TEST(search.asked() == kLikelyHolders);
+  BOOST_TEST(tried == kMostStrays);
+  BOOST_TEST((search.NextDeadline() <= now + kHoldBack));
+  // The list is whole: likely holders are tried before others are asked.
+  holder_search settled = search;
+  settled.OnCandidates(Candidates(kAgents), true);
+  const search_step step = settled.Next(true, now);
+  BOOST_TEST(!step.try_at.empty());
+  BOOST_TEST(step.ask.empty());
+  // It does not become whole: then others may know.
+  go_on(now + kHoldBack);
+  BOOST_TEST(search.asked() > kLikelyHolders);
+}
+
 // Pattern: after a kill of all processes no agent can tell. Packets to all
 // upstreams at once would wait for one another on the balancer's link.
 BOOST_AUTO_TEST_CASE(FewUpstreamsAreTriedAtOnce) {
