Callers of idle flows are told at once that their upstream has ended

Cause: an agent told a caller that its upstream had ended when the caller's next packet came. That packet is a request, and one that is not idempotent must not be repeated on another flow: so each idle flow of an upstream that crashes, or leaves with flows that drained slowly, cost a request. A caller that the reset does not reach is told at its next packet, as before. Openings that are not confirmed are only forgotten, as another upstream may hold them.

--- a/src/flows/flow_agent.cc
+++ b/src/flows/flow_agent.cc
@@ -69,6 +69,7 @@
     held.balancer = balancer;
     Notify(balancer, flow);
   }
+  held.caller_expects = packet.acknowledged;
   if (packet.length > 0 && (!held.busy || held.opening)) {
     BeginWork(flow, &held, false, now);
   }
@@ -294,6 +295,7 @@
   } else {
     held.confirmed = true;
   }
+  held.caller_expects = packet.sequence;
   if (packet.length > 0) {
     OnAnswerBegins(&held, now);
   }
@@ -313,12 +315,35 @@
   const bool was_over = flow->second.over;
   Forget(flow);
   if (!was_over && !packet.resetting) {
-    log_line(log_level::kInfo, "flow_reset")
-        .With("flow", ToString(id))
-        .With("reason", "upstream-lost-it")
-        .With("upstream", NameOf(state_));
-    recorder_->Add(metric::kAgentFlowsReset);
-    outlet_->ResetFlow(id, packet.acknowledged);
+    ResetLostFlow(id, packet.acknowledged, "upstream-lost-it");
+  }
+}
+
+void flow_agent::ResetLostFlow(const flow_id& flow, uint32_t sequence,
+                               const char* reason) {
+  log_line(log_level::kInfo, "flow_reset")
+      .With("flow", ToString(flow))
+      .With("reason", reason)
+      .With("upstream", NameOf(state_));
+  recorder_->Add(metric::kAgentFlowsReset);
+  outlet_->ResetFlow(flow, sequence);
+}
+
+// Flows stay known, so that a caller whom the reset does not reach is told at
+// its next packet. One that is not confirmed may be open at another upstream.
+void flow_agent::OnUpstreamEnded() {
+  for (auto flow = flows_.begin(); flow != flows_.end();) {
+    const auto present = flow++;
+    held_flow& held = present->second;
+    if (!held.confirmed) {
+      Forget(present);
+      continue;
+    }
+    SetBusy(&held, false);
+    if (!held.caller_finished && !held.upstream_finished && !held.is_told) {
+      held.is_told = true;
+      ResetLostFlow(present->first, held.caller_expects, "upstream-ended");
+    }
   }
 }
 
--- a/src/flows/flow_agent.h
+++ b/src/flows/flow_agent.h
@@ -81,6 +81,10 @@
   /// that this process has not seen.
   void OnUpstream(upstream_state state, uint32_t slots, bool knows_all_flows);
 
+  /// The upstream has ended for certain. Its callers are told at once, so that
+  /// those of idle flows open new ones before they send their next request.
+  void OnUpstreamEnded();
+
   /// A packet from a balancer; `packet` is the head of carried.packet().
   void OnCarried(const ipv4_address& balancer,
                  const inner::carried_packet& carried,
@@ -112,6 +116,8 @@
     ipv4_address balancer;
     /// Of the upstream's answer to the opening.
     uint32_t first_sequence = 0;
+    /// About the next byte that the caller expects.
+    uint32_t caller_expects = 0;
     /// The upstream has answered the opening.
     bool answered = false;
     /// The upstream has sent more: the flow is open here and nowhere else.
@@ -127,6 +133,8 @@
     bool caller_finished = false;
     bool upstream_finished = false;
     bool over = false;
+    /// Its caller was told that its upstream has ended.
+    bool is_told = false;
     absl::Time forget_at;
   };
   /// A flow that is not among `flows_`.
@@ -166,6 +174,8 @@
   void HandBackWaiting(const std::vector<waiting_opening>& openings,
                        const char* reason);
   void EndLostFlow(flow_map::iterator flow, const flow_packet& packet);
+  void ResetLostFlow(const flow_id& flow, uint32_t sequence,
+                     const char* reason);
   void OnHandedBack(const flow_packet& packet, absl::Span<const uint8_t> bytes,
                     absl::Time now);
   void HandBack(const ipv4_address& balancer, uint32_t attempt,
--- a/src/flows/flow_agent_test.cc
+++ b/src/flows/flow_agent_test.cc
@@ -280,6 +280,83 @@
   BOOST_TEST(out.resets.size() == 1U);
 }
 
+/// Flows of several callers at one upstream, each with an answered request.
+struct idle_flows : fixture {
+  static constexpr uint16_t kFlows = 5;
+  static constexpr uint32_t kExpected = 4000;
+
+  idle_flows() {
+    for (uint16_t port = 1; port <= kFlows; ++port) {
+      Carry(From(port, true, 0));
+      Answer(port, true, kFirstSequence);
+      Carry(From(port, false, kFirstSequence + 1));
+      Answer(port, false, kExpected);
+    }
+  }
+  static flow_packet From(uint16_t port, bool opening, uint32_t acknowledged) {
+    flow_packet packet = FromCaller(opening, acknowledged);
+    packet.source.port = port;
+    return packet;
+  }
+  void Answer(uint16_t port, bool opening, uint32_t sequence) {
+    flow_packet packet = FromUpstream(opening);
+    packet.destination.port = port;
+    packet.sequence = sequence;
+    agent.OnUpstreamPacket(packet, {}, kStart);
+  }
+  void Crash() {
+    agent.OnUpstream(upstream_state::kEnded, 2, true);
+    agent.OnUpstreamEnded();
+  }
+};
+
+// Pattern: an upstream crashes while most of its long flows are idle. A caller
+// that sent a request that is not idempotent on one of them could not repeat
+// it, so it is to hear of the end before.
+BOOST_FIXTURE_TEST_CASE(CallersOfIdleFlowsAreToldThatTheirUpstreamHasEnded,
+                        idle_flows) {
+  Crash();
+  const std::vector<uint32_t> expected(kFlows, kExpected);
+  BOOST_TEST(out.resets == expected);
+  BOOST_TEST(agent.busy_flows() == 0U);
+  Crash();
+  BOOST_TEST(out.resets.size() == kFlows);
+}
+
+// The reset may be lost on the way.
+BOOST_FIXTURE_TEST_CASE(ACallerThatWasToldInVainIsToldAtItsNextPacket,
+                        idle_flows) {
+  Crash();
+  const size_t delivered = out.marks.size();
+  Carry(From(1, false, kExpected + 10));
+  BOOST_TEST(out.marks.size() == delivered);
+  BOOST_TEST(out.resets.size() == kFlows + 1U);
+  BOOST_TEST(out.resets.back() == kExpected + 10);
+}
+
+BOOST_FIXTURE_TEST_CASE(FlowsThatOneEndHasFinishedAreNotReset, idle_flows) {
+  flow_packet end = From(1, false, kExpected);
+  end.finishing = true;
+  Carry(end);
+  flow_packet upstream_end = FromUpstream(false);
+  upstream_end.destination.port = 2;
+  upstream_end.finishing = true;
+  agent.OnUpstreamPacket(upstream_end, {}, kStart);
+  Crash();
+  BOOST_TEST(out.resets.size() == kFlows - 2U);
+}
+
+// The caller may have taken the answer of another upstream.
+BOOST_FIXTURE_TEST_CASE(AFlowThatIsNotConfirmedIsForgottenWhereItsUpstreamEnds,
+                        fixture) {
+  Carry(FromCaller(true, 0));
+  agent.OnUpstreamPacket(FromUpstream(true), {}, kStart);
+  agent.OnUpstream(upstream_state::kEnded, 2, true);
+  agent.OnUpstreamEnded();
+  BOOST_TEST(out.resets.empty());
+  BOOST_TEST(Claim() == inner::HOLDER_CLAIM_DENIES);
+}
+
 // Its heartbeats are missing; whether it lives is not known.
 BOOST_FIXTURE_TEST_CASE(KeepsFlowsOfASilentUpstream, fixture) {
   OpenFlow();
