Flows of an upstream that has ended are no load of its next process

Cause: read again, flows whose callers were told that their upstream has ended stayed counted as open for 60 s, as those callers send nothing on them any more. Balancers would have placed too little at an upstream that is back. Change: they are over, and still known, so that a caller who was told in vain is told at its next packet. Measured: FlowsOfAnUpstreamThatHasEndedAreNoLoadOfTheNext fails without it; flows/tests passes.

--- a/src/flows/flow_agent.cc
+++ b/src/flows/flow_agent.cc
@@ -312,9 +312,9 @@
 void flow_agent::EndLostFlow(flow_map::iterator flow,
                              const flow_packet& packet) {
   const flow_id id = flow->first;
-  const bool was_over = flow->second.over;
+  const bool may_go_on = !flow->second.over || flow->second.is_told;
   Forget(flow);
-  if (!was_over && !packet.resetting) {
+  if (may_go_on && !packet.resetting) {
     ResetLostFlow(id, packet.acknowledged, "upstream-lost-it");
   }
 }
@@ -330,7 +330,8 @@
 }
 
 // Flows stay known, so that a caller whom the reset does not reach is told at
-// its next packet. One that is not confirmed may be open at another upstream.
+// its next packet, but they are no load of the upstream's next process. One
+// that is not confirmed may be open at another upstream.
 void flow_agent::OnUpstreamEnded() {
   for (auto flow = flows_.begin(); flow != flows_.end();) {
     const auto present = flow++;
@@ -339,11 +340,11 @@
       Forget(present);
       continue;
     }
-    SetBusy(&held, false);
-    if (!held.caller_finished && !held.upstream_finished && !held.is_told) {
+    if (!held.over && !held.caller_finished && !held.upstream_finished) {
       held.is_told = true;
       ResetLostFlow(present->first, held.caller_expects, "upstream-ended");
     }
+    SetOver(&held);
   }
 }
 
--- a/src/flows/flow_agent.h
+++ b/src/flows/flow_agent.h
@@ -133,7 +133,7 @@
     bool caller_finished = false;
     bool upstream_finished = false;
     bool over = false;
-    /// Its caller was told that its upstream has ended.
+    /// It is over as its upstream has ended, and its caller was told so.
     bool is_told = false;
     absl::Time forget_at;
   };
--- a/src/flows/flow_agent_test.cc
+++ b/src/flows/flow_agent_test.cc
@@ -334,6 +334,21 @@
   BOOST_TEST(out.resets.back() == kExpected + 10);
 }
 
+BOOST_FIXTURE_TEST_CASE(FlowsOfAnUpstreamThatHasEndedAreNoLoadOfTheNext,
+                        idle_flows) {
+  Crash();
+  agent.OnUpstream(upstream_state::kServing, 2, true);
+  Listing();
+  BOOST_TEST(out.to_balancer.back().answer().load().open_flows() == 0U);
+  // A caller that was told in vain is told by way of the new upstream.
+  Carry(From(1, false, kExpected));
+  flow_packet returned = From(1, false, kExpected);
+  returned.returned = true;
+  returned.mark = out.marks.back();
+  agent.OnUpstreamPacket(returned, {}, kStart);
+  BOOST_TEST(out.resets.size() == kFlows + 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(FlowsThatOneEndHasFinishedAreNotReset, idle_flows) {
   flow_packet end = From(1, false, kExpected);
   end.finishing = true;
