A search without a packet to try its likely holders with asks no others

About 800 searches asked all 276 agents then, 21 KB each, 2 s of the budget: their packets of the first moment were too old, so that no upstream could be tried, or their hold of 1 s was over before the lease of 1.8 s after which control says who has gone. Change: a search that has uncertain likely holders and no packet waits for its caller's next one; kHoldBack is 2 s.

--- a/src/flows/holder_search.cc
+++ b/src/flows/holder_search.cc
@@ -127,7 +127,7 @@
   if (CountOf(claim::kTried) == 0 && has_packet && asked_ >= kLikelyHolders) {
     TryUncertain(now, &step);
   }
-  if (CountOf(claim::kTried) == 0 && !IsHeldBack(now)) {
+  if (CountOf(claim::kTried) == 0 && !IsHeldBack(has_packet, now)) {
     AskMore(now, &step);
   }
   if (!step.ask.empty()) {
@@ -159,12 +159,18 @@
   }
 }
 
-// A likely holder that cannot tell and may not be tried yet: agents that are
-// missing or silent are soon back, or known to have gone. Meanwhile to ask all
-// others would use up the budget of all searches.
-bool holder_search::IsHeldBack(absl::Time now) {
+// A likely holder cannot tell, and cannot be tried: its caller's next packet is
+// awaited, or agents that are missing or silent are soon back, or known to have
+// gone. Meanwhile to ask all others would use up the budget of all searches.
+bool holder_search::IsHeldBack(bool has_packet, absl::Time now) {
   if (asked_ < kLikelyHolders || CountOf(claim::kUncertain) == 0 ||
-      CountOf(claim::kNotAsked) == 0 || TriesAllowed(MayBeSilent()) > 0) {
+      CountOf(claim::kNotAsked) == 0) {
+    return false;
+  }
+  if (!has_packet) {
+    return true;
+  }
+  if (TriesAllowed(MayBeSilent()) > 0) {
     return false;
   }
   if (held_back_until_ == absl::InfinitePast()) {
--- a/src/flows/holder_search.h
+++ b/src/flows/holder_search.h
@@ -27,8 +27,8 @@
 inline constexpr absl::Duration kSearchPatience = absl::Milliseconds(100);
 
 /// How long a search that may not try its likely holders asks no others: by
-/// then control says which agents have gone.
-inline constexpr absl::Duration kHoldBack = absl::Seconds(1);
+/// then kAnnouncementLease is over, and control says which agents have gone.
+inline constexpr absl::Duration kHoldBack = absl::Seconds(2);
 
 /// An upstream that has not handed back a packet for so long is presumed to
 /// hold its flow: it does so at once, but links may be full.
@@ -142,7 +142,7 @@
   bool MayBeSilent() const;
   size_t TriesAllowed(bool may_be_silent) const;
   void ExpireAwaited(absl::Time now, search_step* step);
-  bool IsHeldBack(absl::Time now);
+  bool IsHeldBack(bool has_packet, absl::Time now);
   void AskMore(absl::Time now, search_step* step);
   void AskAgain(absl::Time now, search_step* step);
   void Presume(absl::Time now, search_step* step);
--- a/src/flows/holder_search_test.cc
+++ b/src/flows/holder_search_test.cc
@@ -230,6 +230,22 @@
   BOOST_TEST(search.asked() > kLikelyHolders);
 }
 
+// Pattern: all processes are killed, and callers give up or their packets are
+// too old. Answers to other searches made theirs ask all agents.
+BOOST_AUTO_TEST_CASE(OnlyLikelyHoldersAreAskedWithoutAPacketToTryThemWith) {
+  holder_search search(kStart);
+  search.OnCandidates(Candidates(204), true);
+  absl::Time now = kStart;
+  for (int round = 0; round < 50; ++round) {
+    for (const ipv4_address& agent : search.Next(false, now).ask) {
+      search.OnUncertain(agent);
+    }
+    now += kSearchPatience;
+  }
+  BOOST_TEST(search.asked() == kLikelyHolders);
+  BOOST_TEST(!search.Next(true, now).try_at.empty());
+}
+
 // Pattern: after a kill of all processes no agent can tell. Packets to all
 // upstreams at once would wait for one another on the balancer's link.
 BOOST_AUTO_TEST_CASE(FewUpstreamsAreTriedAtOnce) {
