--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Two members of the core lose their disks, catch_up_s and a little apart.
+here=$(cd "$(dirname "$0")" && pwd)
+exec bash "$here/../lib/case.sh" "$here"
