--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -418,7 +418,11 @@
 
     def _take_syn(self, key, held, packet):
         if isinstance(held, Stream):
-            return
+            if after(packet.seq, 1) == held.first_from_peer:
+                return
+            # The client has begun anew on the same port.
+            held.close()
+            held = None
         if held is None:
             if len(self.flows) >= 2000:
                 self._bounce(packet, "full")
@@ -442,6 +446,7 @@
                         lambda data: self._on_data(key, taken, data),
                         lambda: self._on_fin(key),
                         lambda: self.flows.pop(key, None))
+        stream.first_from_peer = held[1]
         self.flows[key] = stream
         self.fleet.note(f"target {self.name} holds flow "
                         f"{address_of(src)}:{sport}")
