--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -814,7 +814,7 @@
         self.machines.append(made)
         return made
 
-    def start_core_and_balancers(self, balancers=2):
+    def start_core_and_balancers(self, balancers=2, last_core_pause_s=0):
         zones = ("praha-a", "praha-b", "brno-a")
         for i in range(3):
             self.core.append(self.machine(f"core-{i + 1}", "control", i + 1,
@@ -823,8 +823,10 @@
             self.balancers.append(
                 self.machine(f"frontend-{i + 1}", "balancer", 11 + i,
                              zone=zones[i % 3]))
-        for machine in self.core + self.balancers:
+        for machine in self.core[:2] + self.balancers:
             machine.start()
+        time.sleep(last_core_pause_s)
+        self.core[2].start()
         self.router = Router(self)
 
     def add_target(self, name, service, last, **options):
