Repair: a voter whose VM is back with an empty disk is replaced at once

Cause: the VM itself says that its disk is lost, but the repair waited until its former identity had been silent for 3 s, counted anew by each leader, and refused the VM as a duplicate until then. The next loss came before the repair had ended.

Change: such a member counts as lost after 0.5 s of silence and is demoted before the newcomer is promoted, so that the quorum shrinks at once. A member that answers keeps its place, whoever claims its name.

Before: LeadersLoseTheirDisksInTurn (control/raft_core_test) fails in its first case, AKnownDiskLossIsRepairedBeforeTheContactTimeout (control/repair_core_test) fails.

--- a/src/cardamomroute/control_member_hellos.cc
+++ b/src/cardamomroute/control_member_hellos.cc
@@ -20,7 +20,7 @@
     return;
   }
   founding_.OnHello(sender);
-  raft_->RecordLostVoters(sender);
+  raft_->RecordLostDisks(sender);
   if (!raft_->HoldsLease(now)) {
     return;
   }
--- a/src/control/raft_core.cc
+++ b/src/control/raft_core.cc
@@ -207,7 +207,7 @@
   message.set_term(Term());
   message.set_run(options_.run);
   message.set_unverified(!verified_);
-  for (const member_id lost : lost_voters_) {
+  for (const member_id lost : lost_disks_) {
     if (Membership().IsVoter(lost)) {
       message.add_lost_voters(lost);
     }
--- a/src/control/raft_core.h
+++ b/src/control/raft_core.h
@@ -53,9 +53,9 @@
   raft_core(const raft_options& options, recovered_state state, uint64_t seed,
             absl::Time now);
 
-  /// Records that voters with the name or address of `newcomer`, a VM without
+  /// Records that members with the name or address of `newcomer`, a VM without
   /// a group that asks to join, have lost their disks.
-  void RecordLostVoters(const inner::member_record& newcomer);
+  void RecordLostDisks(const inner::member_record& newcomer);
 
   /// True once this member knows that it runs on an old copy of its disk. It
   /// then handles no messages or timers, and the disk's identity must not be
@@ -260,7 +260,8 @@
   raft_positions positions_;
   /// Term and last index that the disk held when this run started.
   inner::raft_position start_position_;
-  absl::flat_hash_set<member_id> lost_voters_;
+  /// Members whose VMs have another disk now.
+  absl::flat_hash_set<member_id> lost_disks_;
   bool verified_ = false;
   bool runs_on_old_copy_ = false;
   bool group_replaced_ = false;
--- a/src/control/raft_core_disk.cc
+++ b/src/control/raft_core_disk.cc
@@ -70,11 +70,11 @@
   }
   for (const member_id lost : message.lost_voters()) {
     if (Membership().IsVoter(lost)) {
-      lost_voters_.insert(lost);
+      lost_disks_.insert(lost);
     }
   }
-  lost_voters_.erase(message.from());
-  lost_voters_.erase(options_.self);
+  lost_disks_.erase(message.from());
+  lost_disks_.erase(options_.self);
   // A verified member has regained everything that an old copy could lack.
   if (!verified_ && positions_.Contradicts(start_position_)) {
     BecomeFollower(Term(), 0);
@@ -103,10 +103,10 @@
   verified_ = verified_ || append.verified_run() == options_.run;
 }
 
-void raft_core::RecordLostVoters(const inner::member_record& newcomer) {
+void raft_core::RecordLostDisks(const inner::member_record& newcomer) {
   for (const inner::member_record& member : Membership().Members()) {
-    if (member.role() == inner::VOTER && IsSameVm(member, newcomer)) {
-      lost_voters_.insert(member.id());
+    if (IsSameVm(member, newcomer)) {
+      lost_disks_.insert(member.id());
     }
   }
 }
@@ -119,7 +119,7 @@
     if (member.role() != inner::VOTER) {
       return false;
     }
-    return lost_voters_.contains(member.id()) ||
+    return lost_disks_.contains(member.id()) ||
            std::any_of(members.begin(), members.end(), [&](const auto& other) {
              return IsSameVm(member, other);
            });
--- a/src/control/raft_core_leader.cc
+++ b/src/control/raft_core_leader.cc
@@ -314,6 +314,7 @@
   for (const inner::member_record& member : Membership().Members()) {
     raft_member_status status;
     status.member = member;
+    status.disk_lost = lost_disks_.contains(member.id());
     const auto peer = leadership_->Peers().find(member.id());
     if (peer == leadership_->Peers().end()) {
       status.last_contact = now_;
--- a/src/control/raft_core_test.cc
+++ b/src/control/raft_core_test.cc
@@ -219,6 +219,28 @@
   BOOST_TEST(group.Violations().empty());
 }
 
+/// Guards against disks that are lost in turn, each once the VM before it has
+/// been back for as long as a repair may take: the next loss then left the
+/// group without a quorum for good. The leader is lost each time, so that its
+/// successor has to learn of the loss.
+RC_BOOST_PROP(LeadersLoseTheirDisksInTurn, (uint64_t seed)) {
+  constexpr int64_t kRepairMs = 4000;
+  fake_group group(3, 3, seed);
+  RC_ASSERT(group.RunUntilLeader(5000) != nullptr);
+  group.SetProposeInterval(50);
+  for (int loss = 0; loss < 4; ++loss) {
+    RC_ASSERT(group.LoseDisk(*group.LeaderVm()));
+    group.Run(kRepairMs);
+    RC_ASSERT(group.LeaderVm().has_value());
+    const raft_core* leader = group.CoreOf(*group.LeaderVm());
+    RC_ASSERT(leader->Membership().VoterCount() == 3U);
+    for (size_t vm = 0; vm < 3; ++vm) {
+      RC_ASSERT(leader->Membership().IsVoter(group.Vm(vm).disk.id));
+    }
+  }
+  RC_ASSERT(group.Violations() == std::vector<std::string>());
+}
+
 BOOST_AUTO_TEST_CASE(LogSizeStaysBounded) {
   fake_group group(3, 3, 5);
   BOOST_REQUIRE(group.RunUntilLeader(5000) != nullptr);
--- a/src/control/raft_disk_test_support.cc
+++ b/src/control/raft_disk_test_support.cc
@@ -100,7 +100,7 @@
   }
   for (size_t to = 0; to < vms_.size(); ++to) {
     if (to != vm && vms_[to].core != nullptr && blocked_.count({vm, to}) == 0) {
-      vms_[to].core->RecordLostVoters(vms_[vm].Member(inner::STANDBY));
+      vms_[to].core->RecordLostDisks(vms_[vm].Member(inner::STANDBY));
     }
   }
 }
--- a/src/control/raft_types.h
+++ b/src/control/raft_types.h
@@ -101,6 +101,9 @@
   uint64_t match_index = 0;
   /// True if the member lags by at most kCaughtUpEntries.
   bool caught_up = false;
+  /// True if the member's VM has asked to join with an empty disk since the
+  /// member's last message: the member will not come back.
+  bool disk_lost = false;
 };
 
 }  // namespace cardamomroute::control
--- a/src/control/repair_core.cc
+++ b/src/control/repair_core.cc
@@ -18,8 +18,15 @@
       : self_(self), members_(members), now_(now) {}
 
   bool IsSilent(const raft_member_status& status) const {
-    return status.member.id() != self_ &&
-           now_ >= status.last_contact + kMemberContactTimeout;
+    return IsDiskLost(status) ||
+           (status.member.id() != self_ &&
+            now_ >= status.last_contact + kMemberContactTimeout);
+  }
+
+  /// True if the member is gone for good, because its VM has another disk.
+  bool IsDiskLost(const raft_member_status& status) const {
+    return status.member.id() != self_ && status.disk_lost &&
+           now_ >= status.last_contact + kLostMemberContactTimeout;
   }
 
   /// True if the member answered within kMaxPromotionContactAge.
@@ -74,17 +81,19 @@
   return change;
 }
 
-/// Returns the demotion of a voter other than the leader if there are more
-/// voters than wanted and the demotion leaves a quorum of available ones.
-/// Prefers the voter that has been silent longest, then the one that lags most.
+/// Returns the demotion of a voter other than the leader if its disk is lost or
+/// there are more voters than wanted, and the demotion leaves a quorum of
+/// available ones. Prefers a voter whose disk is lost, then the one that has
+/// been silent longest, then the one that lags most.
 std::optional<membership_change> FindDemotion(const member_availability& group,
                                               size_t wanted) {
-  if (group.Voters() <= wanted) {
-    return std::nullopt;
-  }
+  const bool has_extra = group.Voters() > wanted;
   const raft_member_status* chosen = nullptr;
   const auto is_preferred = [&](const raft_member_status& a,
                                 const raft_member_status& b) {
+    if (group.IsDiskLost(a) != group.IsDiskLost(b)) {
+      return group.IsDiskLost(a);
+    }
     if (group.IsSilent(a) != group.IsSilent(b)) {
       return group.IsSilent(a);
     }
@@ -95,7 +104,8 @@
   };
   for (const raft_member_status& status : group.Members()) {
     if (!member_availability::IsVoter(status) ||
-        status.member.id() == group.Self()) {
+        status.member.id() == group.Self() ||
+        !(has_extra || group.IsDiskLost(status))) {
       continue;
     }
     if (chosen == nullptr || is_preferred(status, *chosen)) {
--- a/src/control/repair_core.h
+++ b/src/control/repair_core.h
@@ -15,6 +15,12 @@
 /// unavailable.
 inline constexpr absl::Duration kMemberContactTimeout = absl::Seconds(3);
 
+/// The same for a member whose VM has asked to join with an empty disk. Longer
+/// than a living member is ever silent for, so that a VM that was given the
+/// name of another one by mistake does not displace it.
+inline constexpr absl::Duration kLostMemberContactTimeout =
+    absl::Milliseconds(500);
+
 /// A standby is promoted only if its last answer is younger than this. If the
 /// standby is lost for good at the moment of its promotion, together with the
 /// voter that it replaces, the larger quorum becomes unreachable.
@@ -26,7 +32,9 @@
 
 /// Decides on the leader which single membership change is due next. It keeps
 /// the wanted number of voters available: a silent voter is replaced by an
-/// available standby that has caught up, and becomes a standby itself.
+/// available standby that has caught up, and becomes a standby itself. A voter
+/// whose disk is lost is demoted first: it cannot come back, and without it
+/// the quorum is no larger than what is left needs.
 ///
 /// Follows "Cluster Membership" of the Copycat paper. Standbys are the paper's
 /// passive members (6.2), promoted by a single-server change (6.5). The silent
--- a/src/control/repair_core_test.cc
+++ b/src/control/repair_core_test.cc
@@ -29,6 +29,13 @@
   return status;
 }
 
+raft_member_status LostStatus(member_id id, inner::member_role role,
+                              absl::Duration silent_for) {
+  raft_member_status status = Status(id, role, silent_for);
+  status.disk_lost = true;
+  return status;
+}
+
 inner::membership_record RecordOf(
     const std::vector<raft_member_status>& members) {
   inner::membership_record record;
@@ -41,8 +48,11 @@
 size_t AvailableVoters(const std::vector<raft_member_status>& members) {
   return static_cast<size_t>(std::count_if(
       members.begin(), members.end(), [](const raft_member_status& status) {
+        const absl::Duration timeout = status.disk_lost
+                                           ? kLostMemberContactTimeout
+                                           : kMemberContactTimeout;
         return status.member.role() == inner::VOTER &&
-               kNow < status.last_contact + kMemberContactTimeout;
+               kNow < status.last_contact + timeout;
       }));
 }
 
@@ -68,13 +78,16 @@
 
 rc::Gen<raft_member_status> RandomMember(member_id id) {
   return rc::gen::apply(
-      [id](bool voter, int silent_ms, bool caught_up) {
-        return Status(id, voter ? inner::VOTER : inner::STANDBY,
-                      absl::Milliseconds(silent_ms), caught_up);
+      [id](bool voter, int silent_ms, bool caught_up, bool disk_lost) {
+        raft_member_status status =
+            Status(id, voter ? inner::VOTER : inner::STANDBY,
+                   absl::Milliseconds(silent_ms), caught_up);
+        status.disk_lost = disk_lost;
+        return status;
       },
       rc::gen::arbitrary<bool>(),
-      rc::gen::element(0, 50, 1000, 2999, 3000, 9000),
-      rc::gen::arbitrary<bool>());
+      rc::gen::element(0, 50, 499, 500, 1000, 2999, 3000, 9000),
+      rc::gen::arbitrary<bool>(), rc::gen::arbitrary<bool>());
 }
 
 /// From any state in which the leader has a quorum, repairs terminate, keep the
@@ -154,6 +167,42 @@
   BOOST_TEST(changes == expected, boost::test_tools::per_element());
 }
 
+/// Guards against waiting for kMemberContactTimeout where the VM itself has
+/// said that its disk is empty: a second disk that was lost meanwhile left the
+/// group without a quorum for good.
+BOOST_AUTO_TEST_CASE(AKnownDiskLossIsRepairedBeforeTheContactTimeout) {
+  repair_core repair(3);
+  std::vector<raft_member_status> members = {
+      Status(1, inner::VOTER, {}), Status(2, inner::VOTER, {}),
+      LostStatus(3, inner::VOTER, kLostMemberContactTimeout)};
+  inner::member_record joiner = members[2].member;
+  joiner.set_id(9);
+  BOOST_TEST(repair.RequestJoin(joiner, members, kNow).has_value());
+  std::vector<std::string> changes;
+  while (const auto change = repair.NextChange(kLeader, members, kNow)) {
+    changes.push_back(absl::StrCat(std::string(NameOf(change->kind)), " ",
+                                   change->member.id()));
+    members = After(members, *change);
+  }
+  const std::vector<std::string> expected = {"demote 3", "add-standby 9",
+                                             "promote 9", "remove 3"};
+  BOOST_TEST(changes == expected, boost::test_tools::per_element());
+}
+
+/// Another VM that was given the name of a member by mistake does not displace
+/// it: the member still answers.
+BOOST_AUTO_TEST_CASE(AMemberThatAnswersKeepsItsPlaceWhoeverClaimsItsName) {
+  repair_core repair(3);
+  const std::vector<raft_member_status> members = {
+      Status(1, inner::VOTER, {}), Status(2, inner::VOTER, {}),
+      LostStatus(3, inner::VOTER, absl::Milliseconds(250))};
+  inner::member_record joiner = members[2].member;
+  joiner.set_id(9);
+  BOOST_TEST((repair.RequestJoin(joiner, members, kNow).error().kind ==
+              error_kind::kDuplicateName));
+  BOOST_TEST(!repair.NextChange(kLeader, members, kNow).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(JoinsWithANameInUseOrToAFullGroupAreRejected) {
   repair_core repair(3);
   std::vector<raft_member_status> members;
