Balancers finish the routes that they have begun before newer ones

Cause: routes come in pieces, one a round trip. A member served pieces of the version in force only, and the balancer began anew with each newer version. Where changes come faster than a transfer takes, no version was ever whole.

Change: a balancer goes on with the version that it has a part of, unless no piece came for 0.5 s; members keep replaced routes for 1 s after they were last asked for, 4 MiB at most.

Before: RoutesComeInWhileTheyChange (directory/tests) stays at version 1 through 24 changes. After: directory/tests pass. AChangeWhileRoutesComeInBeginsAnew still holds as it stands: the newer version is there within its second.

--- a/src/directory/directory_follower.cc
+++ b/src/directory/directory_follower.cc
@@ -115,7 +115,7 @@
   }
   contacts_.OnNamed(page.members(), now);
   TakeUpstreams(page, &teller);
-  const bool more = TakeRoutes(page) || page.more();
+  const bool more = TakeRoutes(page, now) || page.more();
   const absl::Duration pause =
       IsComplete() && SettledAsOf() > absl::InfinitePast() ? kPollInterval
                                                            : kFirstPollTimeout;
@@ -150,13 +150,16 @@
   has_list_ = has_list_ || (teller->listed && teller->age >= kListAge);
 }
 
-// True where more of them is to be asked for at once.
-bool directory_follower::TakeRoutes(const inner::directory_page& page) {
+// True where more of them is to be asked for at once. A version of which a part
+// is here is finished before a newer one is begun, so that each transfer ends
+// however fast changes come.
+bool directory_follower::TakeRoutes(const inner::directory_page& page,
+                                    absl::Time now) {
   if (page.configuration_version() <= routes_.version) {
     return false;
   }
   if (page.configuration_version() > partial_version_ &&
-      page.routes_offset() == 0) {
+      page.routes_offset() == 0 && !IsPartInProgress(now)) {
     partial_version_ = page.configuration_version();
     partial_.clear();
   }
@@ -165,6 +168,7 @@
     return page.configuration_version() >= partial_version_;
   }
   partial_ += page.routes();
+  partial_expires_at_ = now + kPartialRoutesTimeout;
   if (partial_.size() < page.routes_total()) {
     return true;
   }
@@ -179,7 +183,7 @@
   routes_ = {partial_version_, std::move(list)};
   routes_changed_ = true;
   partial_.clear();
-  return false;
+  return page.newest_configuration_version() > routes_.version;
 }
 
 absl::Time directory_follower::SettledAsOf() const {
--- a/src/directory/directory_follower.h
+++ b/src/directory/directory_follower.h
@@ -48,6 +48,10 @@
 /// silent, unless no other one answers either.
 inline constexpr absl::Duration kMemberSay = absl::Seconds(2);
 
+/// Routes of which no further piece came for this long are given up for newer
+/// ones: no member that answers has them any more.
+inline constexpr absl::Duration kPartialRoutesTimeout = absl::Milliseconds(500);
+
 /// A poll and the member that it goes to.
 struct due_poll {
   ipv4_address to;
@@ -129,7 +133,10 @@
 
   absl::Time DueAt(const member& asked) const;
   void TakeUpstreams(const inner::directory_page& page, member* teller);
-  bool TakeRoutes(const inner::directory_page& page);
+  bool TakeRoutes(const inner::directory_page& page, absl::Time now);
+  bool IsPartInProgress(absl::Time now) const {
+    return !partial_.empty() && now < partial_expires_at_;
+  }
   std::vector<known_upstream> Merge() const;
 
   metric_recorder* const recorder_;
@@ -147,6 +154,8 @@
   /// The beginning of the routes of a version that is newer.
   uint64_t partial_version_ = 0;
   std::string partial_;
+  /// When they are given up unless another piece comes.
+  absl::Time partial_expires_at_ = absl::InfinitePast();
 };
 
 }  // namespace cardamomroute
--- a/src/directory/directory_test.cc
+++ b/src/directory/directory_test.cc
@@ -214,6 +214,52 @@
   BOOST_TEST(routes->list.routes_size() == 200);
 }
 
+/// Guards against a balancer that stays on an old version for as long as
+/// changes come faster than all pieces of one: it began anew at each change.
+BOOST_FIXTURE_TEST_CASE(RoutesComeInWhileTheyChange, fixture) {
+  Run(absl::Seconds(1));
+  // Longer than the bound in which a change has to reach balancers.
+  constexpr int kChanges = 24;
+  constexpr absl::Duration kPause = absl::Milliseconds(330);
+  constexpr uint64_t kMostBehind = 9;  // 3 s
+  for (uint64_t version = 2; version < 2 + kChanges; ++version) {
+    // A page each 10 ms: one version takes longer than the pause.
+    in_force = Configuration(version, 1800);
+    Run(kPause);
+    BOOST_TEST(follower.routes_version() + kMostBehind >= version);
+  }
+  Run(absl::Seconds(3));
+  BOOST_TEST(follower.routes_version() == in_force.version());
+  BOOST_TEST(follower.TakeNewRoutes()->list.routes_size() == 1800);
+}
+
+/// A version that no member has any more is given up for a newer one.
+BOOST_FIXTURE_TEST_CASE(APartThatNoMemberCanCompleteIsGivenUp, fixture) {
+  Run(absl::Seconds(1));
+  in_force = Configuration(2, 1800);
+  Run(absl::Milliseconds(100));
+  members.at(kMember) = NewMember(2, now);
+  in_force = Configuration(3, 40);
+  Run(kPartialRoutesTimeout + absl::Milliseconds(500));
+  BOOST_TEST(follower.routes_version() == 3U);
+}
+
+/// Balancers that ask for ever more versions do not make a member hold them.
+BOOST_FIXTURE_TEST_CASE(ReplacedRoutesAreHeldForAWhileOnly, fixture) {
+  node_directory& member = members.at(kMember);
+  in_force = Configuration(2, 200);
+  inner::directory_poll poll;
+  const inner::directory_page piece = member.OnPoll(poll, in_force, now);
+  poll.set_partial_version(2);
+  poll.set_partial_bytes(static_cast<uint32_t>(piece.routes().size()));
+  in_force = Configuration(3, 200);
+  BOOST_TEST(member.OnPoll(poll, in_force, now).configuration_version() == 2U);
+  now += kReplacedRoutesLife;
+  const inner::directory_page later = member.OnPoll(poll, in_force, now);
+  BOOST_TEST(later.configuration_version() == 3U);
+  BOOST_TEST(later.routes_offset() == 0U);
+}
+
 BOOST_FIXTURE_TEST_CASE(AnAgentThatCeasesIsSilentThenGone, fixture) {
   Announce(kMember, Announced(1, 1, 1, upstream_state::kServing));
   Run(absl::Milliseconds(500));
--- a/src/directory/node_directory.cc
+++ b/src/directory/node_directory.cc
@@ -203,6 +203,60 @@
   page->set_directory_version(version_);
 }
 
+// The version in force stays in any case.
+void node_directory::KeepRoutes(const inner::configuration_record& in_force,
+                                absl::Time now) {
+  const bool is_new =
+      routes_.empty() || in_force.version() > routes_.rbegin()->first;
+  if (is_new && in_force.version() != 0) {
+    if (!routes_.empty()) {
+      routes_.rbegin()->second.expires_at = now + kReplacedRoutesLife;
+    }
+    routes_[in_force.version()] = {in_force.routes(), absl::InfiniteFuture()};
+  }
+  DropReplacedRoutes(now);
+}
+
+void node_directory::DropReplacedRoutes(absl::Time now) {
+  size_t bytes = 0;
+  for (auto kept = routes_.begin(); kept != routes_.end();) {
+    if (now >= kept->second.expires_at) {
+      kept = routes_.erase(kept);
+      continue;
+    }
+    bytes += kept->second.routes.size();
+    ++kept;
+  }
+  while (routes_.size() > 1 && bytes > kMaxReplacedRoutesBytes) {
+    bytes -= routes_.begin()->second.routes.size();
+    routes_.erase(routes_.begin());
+  }
+}
+
+void node_directory::AddRoutes(const inner::directory_poll& poll,
+                               const inner::configuration_record& in_force,
+                               absl::Time now, inner::directory_page* page) {
+  uint64_t version = in_force.version();
+  const std::string* routes = &in_force.routes();
+  const auto partial = routes_.find(poll.partial_version());
+  if (poll.partial_bytes() != 0 && partial != routes_.end() &&
+      poll.configuration_version() < partial->first &&
+      partial->first < version) {
+    page->set_newest_configuration_version(version);
+    version = partial->first;
+    routes = &partial->second.routes;
+    partial->second.expires_at = now + kReplacedRoutesLife;
+  }
+  page->set_configuration_version(version);
+  const size_t offset =
+      poll.partial_version() == version
+          ? std::min<size_t>(poll.partial_bytes(), routes->size())
+          : 0;
+  page->set_routes_offset(static_cast<uint32_t>(offset));
+  page->set_routes_total(static_cast<uint32_t>(routes->size()));
+  page->set_routes(routes->substr(offset, kPageRoutesBytes));
+}
+
 inner::directory_page node_directory::OnPoll(
     const inner::directory_poll& poll,
     const inner::configuration_record& in_force, absl::Time now) {
@@ -221,14 +275,9 @@
                kPageUpstreamBytes + (lacks_routes ? 0 : kPageRoutesBytes),
                &page);
   page.set_configuration_version(in_force.version());
+  KeepRoutes(in_force, now);
   if (lacks_routes) {
-    const size_t total = in_force.routes().size();
-    const size_t offset = poll.partial_version() == in_force.version()
-                              ? std::min<size_t>(poll.partial_bytes(), total)
-                              : 0;
-    page.set_routes_offset(static_cast<uint32_t>(offset));
-    page.set_routes_total(static_cast<uint32_t>(total));
-    page.set_routes(in_force.routes().substr(offset, kPageRoutesBytes));
+    AddRoutes(poll, in_force, now, &page);
   }
   return page;
 }
--- a/src/directory/node_directory.h
+++ b/src/directory/node_directory.h
@@ -34,6 +34,13 @@
 inline constexpr size_t kPageUpstreamBytes = 600;
 inline constexpr size_t kPageRoutesBytes = 500;
 
+/// How long routes that were replaced are kept for balancers that have a part
+/// of them, after one of these last asked.
+inline constexpr absl::Duration kReplacedRoutesLife = absl::Seconds(1);
+
+/// Bytes of replaced routes kept at most.
+inline constexpr size_t kMaxReplacedRoutesBytes = 4 << 20;
+
 /// What one member of the control group has heard of agents. It is not stored
 /// and not agreed upon: balancers ask several members and take what any of
 /// them has heard. So upstreams come and go also while the group has no leader.
@@ -63,7 +70,9 @@
   uint64_t version() const { return version_; }
 
   /// The answer to a poll, with a piece of the routes in force here where the
-  /// balancer has an older version.
+  /// balancer has an older version. A balancer that has a part of routes that
+  /// were replaced lately gets on with those: where changes come faster than
+  /// all pieces, it would never have a version whole otherwise.
   inner::directory_page OnPoll(const inner::directory_poll& poll,
                                const inner::configuration_record& in_force,
                                absl::Time now);
@@ -78,7 +87,17 @@
     uint64_t version = 0;
   };
 
+  struct kept_routes {
+    std::string routes;
+    absl::Time expires_at;
+  };
+
   absl::Duration Age(absl::Time now) const;
+  void KeepRoutes(const inner::configuration_record& in_force, absl::Time now);
+  void DropReplacedRoutes(absl::Time now);
+  void AddRoutes(const inner::directory_poll& poll,
+                 const inner::configuration_record& in_force, absl::Time now,
+                 inner::directory_page* page);
   void NoteSilent(absl::Time now);
   void AddUpstreams(uint64_t have, size_t room,
                     inner::directory_page* page) const;
@@ -91,6 +110,8 @@
   uint64_t forgotten_version_ = 0;
   absl::btree_map<ipv4_address, record> records_;
   google::protobuf::RepeatedPtrField<inner::control_address> members_;
+  /// Routes in force when last asked, and those before, by version.
+  absl::btree_map<uint64_t, kept_routes> routes_;
 };
 
 }  // namespace cardamomroute
