A newcomer finds the leader through whoever it knows

Cause: a VM without a group greets the three seeds of its settings; only the leader admits it, and other members dropped the greeting. Where the leader is no seed of the newcomer it is never added, so that the group shrinks with each replaced VM until it has no quorum.

Change: whoever is greeted by a VM that is no member of its group answers with the addresses of members, or of VMs without a group, that it knows; the newcomer greets those too. On a related path: a leader admits a member that was removed from a full group while it was away.

--- a/src/cardamomroute/control_group_test_support.cc
+++ b/src/cardamomroute/control_group_test_support.cc
@@ -97,6 +97,14 @@
   vms_[vm].files = std::make_unique<control::fake_file_system>();
 }
 
+void control_group::SetSeeds(int vm, const std::vector<int>& seeds) {
+  vms_[vm].configured.control.peers.clear();
+  for (const int seed : seeds) {
+    vms_[vm].configured.control.peers.push_back(
+        {Concat("control-", seed), AddressOf(seed)});
+  }
+}
+
 void control_group::Isolate(int vm) {
   for (int other = 0; other < Size(); ++other) {
     Cut(vm, other);
--- a/src/cardamomroute/control_group_test_support.h
+++ b/src/cardamomroute/control_group_test_support.h
@@ -42,6 +42,8 @@
   void Crash(int vm);
   void Start(int vm);
   void LoseDisk(int vm);
+  /// The seeds in the VM's settings from its next start on.
+  void SetSeeds(int vm, const std::vector<int>& seeds);
   bool IsUp(int vm) const { return vms_[vm].member != nullptr; }
   /// Messages from one VM to another are lost from now on.
   void Cut(int from, int to) { cuts_.emplace(from, to); }
--- a/src/cardamomroute/control_member.h
+++ b/src/cardamomroute/control_member.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,7 @@
 #include "cardamomroute/control_storage.h"
 #include "cardamomroute/submission_checker.h"
 #include "control/control_state.h"
+#include "control/member_contacts.h"
 #include "control/raft_core.h"
 #include "control/registry_core.h"
 #include "control/repair_core.h"
@@ -119,8 +121,11 @@
 
   // control_member_hellos.cc: VMs without a group, or of another one
   void OnHello(const inner::control_hello& hello, absl::Time now);
-  void OnGroupHello(const inner::control_hello& hello);
-  void SendHello(const std::string& address);
+  void OnGroupHello(const inner::control_hello& hello, absl::Time now);
+  void Admit(const inner::member_record& sender, absl::Time now);
+  void SendHello(const std::string& address, bool is_answer, absl::Time now);
+  std::set<std::string> Contacts(absl::Time now);
+  std::set<std::string> SeedAddresses() const;
   void SendHellos(absl::Time now);
 
   // control_member_answers.cc: nodes and operators
@@ -199,6 +204,8 @@
   /// Set where a configuration was applied that the disk does not know to be
   /// committed.
   std::optional<uint64_t> unnoted_commit_;
+  /// Control VMs that answers to hellos have named.
+  control::member_contacts contacts_;
   absl::Time next_hello_;
   absl::Time next_repair_;
   absl::Time retry_write_at_;
--- a/src/cardamomroute/control_member_test.cc
+++ b/src/cardamomroute/control_member_test.cc
@@ -219,7 +219,9 @@
 }
 
 struct calm_group : control_group {
-  calm_group() : control_group(3, 4, 7) { Run(absl::Seconds(4)); }
+  explicit calm_group(int vms = 4) : control_group(3, vms, 7) {
+    Run(absl::Seconds(4));
+  }
 
   // The answer of one VM to one request, or an empty code.
   std::string Code(int vm, const inner::control_request& request) {
@@ -284,6 +286,51 @@
   BOOST_TEST(group.Code(third, Submission("1", 1, 0, "")) == kAccepted);
 }
 
+/// Guards against a newcomer that is never added because none of its seeds
+/// leads: one follows, one is away, and one is a newcomer itself.
+BOOST_AUTO_TEST_CASE(ANewcomerJoinsThoughNoneOfItsSeedsLeads) {
+  calm_group group(5);
+  const int leader = group.Leader();
+  const int follower = (leader + 1) % 3;
+  for (const int newcomer : {3, 4}) {
+    group.LoseDisk(newcomer);
+  }
+  group.SetSeeds(3, {follower});
+  group.SetSeeds(4, {3});
+  group.Start(3);
+  group.Start(4);
+  group.Run(absl::Seconds(4));
+  BOOST_TEST(!group.Member(3).Membership().Members().empty());
+  BOOST_TEST(!group.Member(4).Membership().Members().empty());
+}
+
+/// Guards against a member that stays out for good after it was removed from a
+/// full group while it was away.
+BOOST_AUTO_TEST_CASE(AMemberThatWasRemovedWhileAwayJoinsAgain) {
+  calm_group group(8);
+  group.Run(absl::Seconds(2));
+  const int leader = group.Leader();
+  const auto has = [&](int vm) {
+    const auto& members = group.Member(leader).Membership().Members();
+    return std::any_of(members.begin(), members.end(), [&](const auto& member) {
+      return member.name() == Concat("control-", vm);
+    });
+  };
+  int left_out = 3;
+  while (has(left_out)) {
+    ++left_out;
+  }
+  const int away = left_out == 3 ? 4 : 3;
+  group.Crash(away);
+  group.Run(absl::Seconds(5));
+  BOOST_REQUIRE(has(left_out));
+  BOOST_REQUIRE(!has(away));
+  group.Crash(left_out);
+  group.Start(away);
+  group.Run(absl::Seconds(5));
+  BOOST_TEST(has(away));
+}
+
 BOOST_AUTO_TEST_CASE(AFullDiskIsWaitedOut) {
   calm_group group;
   for (int vm = 0; vm < group.Size(); ++vm) {
