Test: disks that are full in turn end no process and block no change

From other operators' reports: the disks of control members were full for a few seconds each, one after another; long after the last had room, changes were refused or stayed unanswered. No change of the program.

--- a/src/cardamomroute/control_member_test.cc
+++ b/src/cardamomroute/control_member_test.cc
@@ -70,6 +70,17 @@
     }
   }
 
+  // Sends a text that was not sent before to all VMs.
+  void SubmitAnew() {
+    const std::string id = Concat("id-", sent_.size());
+    const inner::control_request& request =
+        sent_.emplace(id, Submission(id, 1, base_.version(), base_.digest()))
+            .first->second;
+    for (int vm = 0; vm < group_->Size(); ++vm) {
+      group_->Ask(vm, id, request);
+    }
+  }
+
   // A node asks some VM for the view.
   void Pull() {
     inner::control_request request;
@@ -348,6 +359,39 @@
   BOOST_TEST(group.Code(later, Submission("1", 1, 0, "")) == kAccepted);
 }
 
+/// Disks that are full for some seconds each, one after another, end no process
+/// and leave a group that takes changes.
+RC_BOOST_PROP(DisksThatAreFullInTurnAreWaitedOut, ()) {
+  control_group group(3, 4, *rc::gen::arbitrary<uint32_t>());
+  group.Run(absl::Seconds(4));
+  operators people(&group);
+  const auto full = absl::Milliseconds(*rc::gen::inRange(300, 5000));
+  const auto pause = absl::Milliseconds(*rc::gen::element(0, 100, 1000));
+  for (int turn = 0; turn < 2 * group.Size(); ++turn) {
+    const int vm = turn % group.Size();
+    group.Files(vm).SetCapacity(Below(2) == 0 ? 0 : 2000 + Below(4000));
+    for (absl::Duration passed; passed < full;
+         passed += absl::Milliseconds(200)) {
+      people.Act();
+      group.Run(absl::Milliseconds(200));
+      people.Check();
+      RC_ASSERT(group.IsUp(vm));
+    }
+    group.Files(vm).SetCapacity(std::nullopt);
+    group.Run(pause);
+  }
+  group.Run(absl::Seconds(3));
+  people.Check();
+  people.CheckNothingIsLost();
+  const uint64_t before = people.LastAccepted();
+  for (int attempt = 0; attempt < 5; ++attempt) {
+    people.SubmitAnew();
+    group.Run(absl::Seconds(1));
+    people.Check();
+  }
+  RC_ASSERT(people.LastAccepted() > before);
+}
+
 // The text in force and its base, as the leader shows them.
 inner::operator_answer Shown(calm_group* group, int vm) {
   inner::control_request show;
