A voter that stops lets a standby take its place first

Where the successor of a member is in place and the member then gets SIGTERM, it left with its vote and stayed a voter until it had been silent for 2 s. The loss of one more disk meanwhile, which the tolerance allows as the successor has had its time, left no quorum for good.

Cause: an orderly stop handed over the leadership and nothing else.

Change: a voter that is told to stop says so to the members it knows; the leader counts it as unavailable, promotes a standby and demotes it. It waits for that 1.5 s at most, and not at all in a group without a standby.

--- a/src/cardamomroute/control_member.cc
+++ b/src/cardamomroute/control_member.cc
@@ -11,6 +11,8 @@
 namespace outcome = boost::outcome_v2;
 
 constexpr absl::Duration kRepairInterval = absl::Milliseconds(100);
+// Two changes of the membership, and an election where this member leads.
+constexpr absl::Duration kLeaveTimeout = absl::Milliseconds(1500);
 constexpr absl::Duration kFullDiskRetry = absl::Milliseconds(500);
 
 // As many voters as were first listed, but an odd number.
@@ -447,6 +449,8 @@
 
 void control_member::BeginStop(absl::Time now) {
   stopping_ = true;
+  leave_deadline_ = now + kLeaveTimeout;
+  next_hello_ = now;
   const control::raft_member_status* chosen = nullptr;
   const auto statuses = raft_->MemberStatuses();
   for (const control::raft_member_status& status : statuses) {
@@ -465,9 +469,21 @@
   }
 }
 
-bool control_member::IsStopped() const {
-  return raft_->Role() != control::raft_role::kLeader ||
-         raft_->Membership().VoterCount() == 1;
+bool control_member::IsStopped(absl::Time now) const {
+  if (raft_->Membership().VoterCount() == 1) {
+    return true;
+  }
+  return raft_->Role() != control::raft_role::kLeader &&
+         (!MayBeReplaced() || now >= leave_deadline_);
+}
+
+// True while this member is a voter and the group has a standby.
+bool control_member::MayBeReplaced() const {
+  const auto& members = raft_->Membership().Members();
+  return raft_->Membership().IsVoter(self_.id()) &&
+         std::any_of(members.begin(), members.end(), [](const auto& member) {
+           return member.role() == inner::STANDBY;
+         });
 }
 
 }  // namespace cardamomroute
--- a/src/cardamomroute/control_member.h
+++ b/src/cardamomroute/control_member.h
@@ -65,6 +65,9 @@
   /// When Advance has something to do even if no message comes.
   absl::Time NextDeadline() const;
 
+  member_id Id() const { return self_.id(); }
+  bool Leads() const { return raft_->Role() == control::raft_role::kLeader; }
+
   /// What this member has applied.
   const control::control_state& State() const { return state_; }
 
@@ -75,10 +78,12 @@
     return raft_->Membership();
   }
 
-  /// Hands the leadership away, if this member has it.
+  /// Hands the leadership away, if this member has it, and asks a standby to
+  /// take its place as a voter.
   void BeginStop(absl::Time now);
-  /// True once this member does not lead.
-  bool IsStopped() const;
+  /// True once this member does not lead and is no voter, or no standby has
+  /// taken its place in time.
+  bool IsStopped(absl::Time now) const;
 
  private:
   /// An operation of an operator that waits for its entry to be committed.
@@ -127,6 +132,7 @@
   std::set<std::string> Contacts(absl::Time now);
   std::set<std::string> SeedAddresses() const;
   void SendHellos(absl::Time now);
+  bool MayBeReplaced() const;
 
   // control_member_answers.cc: nodes and operators
   void OnPull(const std::string& client, const inner::pull_request& pull,
@@ -210,6 +216,8 @@
   absl::Time next_repair_;
   absl::Time retry_write_at_;
   bool stopping_ = false;
+  /// Until when a stopping member waits for a standby to take its place.
+  absl::Time leave_deadline_ = absl::InfiniteFuture();
   bool has_advanced_ = false;
 };
 
--- a/src/cardamomroute/control_member_hellos.cc
+++ b/src/cardamomroute/control_member_hellos.cc
@@ -30,6 +30,9 @@
   const bool is_of_group =
       hello.term() == 0 ||
       control::GroupOf(hello.term()) == control::GroupOf(raft_->Term());
+  if (hello.is_leaving() && raft_->HoldsLease(now)) {
+    repair_.RequestLeave(sender.id(), now);
+  }
   if (hello.is_answer() || is_member || !is_of_group) {
     return;
   }
@@ -69,6 +72,7 @@
   *hello->mutable_sender() = self_;
   hello->set_term(raft_->LastIndex() > 0 ? raft_->Term() : 0);
   hello->set_is_answer(is_answer);
+  hello->set_is_leaving(stopping_ && MayBeReplaced());
   if (is_answer) {
     for (const std::string& contact : Contacts(now)) {
       hello->add_contacts(contact);
@@ -100,12 +104,14 @@
 }
 
 // Until a membership names this member, and while it hears no leader, it asks
-// every VM that it knows of. A leader tells those that are no members.
+// every VM that it knows of. A leader tells those that are no members. A voter
+// that stops tells all.
 void control_member::SendHellos(absl::Time now) {
   const bool leads = raft_->Role() == control::raft_role::kLeader;
   const bool is_settled = raft_->Membership().Find(self_.id()) != nullptr &&
                           (leads || raft_->HasLeaderContact(now));
-  if (now < next_hello_ || (is_settled && !leads)) {
+  const bool is_leaving = stopping_ && MayBeReplaced();
+  if (now < next_hello_ || (is_settled && !leads && !is_leaving)) {
     return;
   }
   next_hello_ = now + kHelloInterval;
--- a/src/cardamomroute/control_shell.cc
+++ b/src/cardamomroute/control_shell.cc
@@ -29,7 +29,7 @@
 // Requests taken before the disk is written, so that they share a sync.
 constexpr int kRequestsPerRound = 256;
 
-// Longest time for handing the leadership away.
+// Longest time for handing the leadership and the vote away.
 constexpr absl::Duration kTransferTimeout = absl::Seconds(2);
 
 result<void> Listen(const endpoint& address, zmq::socket_t* listening) {
@@ -157,7 +157,7 @@
     end_at_ = now + kTransferTimeout;
     member->BeginStop(now);
   }
-  return member->IsStopped() || now >= end_at_;
+  return member->IsStopped(now) || now >= end_at_;
 }
 
 }  // namespace cardamomroute
--- a/src/control/repair_core.cc
+++ b/src/control/repair_core.cc
@@ -9,13 +9,16 @@
 namespace cardamomroute::control {
 namespace {
 
+/// Until when each member counts as about to stop.
+using leave_times = absl::flat_hash_map<member_id, absl::Time>;
+
 /// The members' availability as the leader `self` sees it at `now`.
 class member_availability {
  public:
   member_availability(member_id self,
                       const std::vector<raft_member_status>& members,
-                      absl::Time now)
-      : self_(self), members_(members), now_(now) {}
+                      const leave_times& leaving, absl::Time now)
+      : self_(self), members_(members), leaving_(leaving), now_(now) {}
 
   bool IsSilent(const raft_member_status& status) const {
     return IsDiskLost(status) ||
@@ -29,6 +32,13 @@
            now_ >= status.last_contact + kLostMemberContactTimeout;
   }
 
+  /// True if the member is about to stop.
+  bool IsLeaving(const raft_member_status& status) const {
+    const auto found = leaving_.find(status.member.id());
+    return status.member.id() != self_ && found != leaving_.end() &&
+           now_ < found->second;
+  }
+
   /// True if the member answered within kMaxPromotionContactAge.
   bool IsRecentlyContacted(const raft_member_status& status) const {
     return now_ < status.last_contact + kMaxPromotionContactAge;
@@ -46,7 +56,7 @@
   size_t AvailableVoters() const {
     return static_cast<size_t>(std::count_if(
         members_.begin(), members_.end(), [this](const auto& status) {
-          return IsVoter(status) && !IsSilent(status);
+          return IsVoter(status) && !IsSilent(status) && !IsLeaving(status);
         }));
   }
 
@@ -54,7 +64,7 @@
   size_t VotersIn(const std::string& zone) const {
     return static_cast<size_t>(std::count_if(
         members_.begin(), members_.end(), [&](const auto& status) {
-          return IsVoter(status) && !IsSilent(status) &&
+          return IsVoter(status) && !IsSilent(status) && !IsLeaving(status) &&
                  status.member.zone() == zone;
         }));
   }
@@ -65,6 +75,7 @@
  private:
   member_id self_;
   const std::vector<raft_member_status>& members_;
+  const leave_times& leaving_;
   absl::Time now_;
 };
 
@@ -84,7 +95,8 @@
 /// Returns the demotion of a voter other than the leader if its disk is lost or
 /// there are more voters than wanted, and the demotion leaves a quorum of
 /// available ones. Prefers a voter whose disk is lost, then the one that has
-/// been silent longest, then the one that lags most.
+/// been silent longest, then one that is about to stop, then the one that lags
+/// most.
 std::optional<membership_change> FindDemotion(const member_availability& group,
                                               size_t wanted) {
   const bool has_extra = group.Voters() > wanted;
@@ -100,6 +112,9 @@
     if (group.IsSilent(a) && a.last_contact != b.last_contact) {
       return a.last_contact < b.last_contact;
     }
+    if (group.IsLeaving(a) != group.IsLeaving(b)) {
+      return group.IsLeaving(a);
+    }
     return a.match_index < b.match_index;
   };
   for (const raft_member_status& status : group.Members()) {
@@ -115,8 +130,9 @@
   if (chosen == nullptr) {
     return std::nullopt;
   }
-  const size_t left =
-      group.AvailableVoters() - (group.IsSilent(*chosen) ? 0 : 1);
+  const bool is_available =
+      !group.IsSilent(*chosen) && !group.IsLeaving(*chosen);
+  const size_t left = group.AvailableVoters() - (is_available ? 1 : 0);
   const size_t quorum = (group.Voters() - 1) / 2 + 1;
   if (left < quorum) {
     return std::nullopt;
@@ -141,7 +157,8 @@
   };
   for (const raft_member_status& status : group.Members()) {
     if (member_availability::IsVoter(status) ||
-        !group.IsRecentlyContacted(status) || !status.caught_up) {
+        !group.IsRecentlyContacted(status) || !status.caught_up ||
+        group.IsLeaving(status)) {
       continue;
     }
     if (chosen == nullptr || is_preferred(status, *chosen)) {
@@ -200,7 +217,7 @@
 result<void> repair_core::RequestJoin(
     const inner::member_record& joiner,
     const std::vector<raft_member_status>& members, absl::Time now) {
-  const member_availability availability(0, members, now);
+  const member_availability availability(0, members, leaving_until_, now);
   if (IsMember(availability, joiner.id())) {
     return boost::outcome_v2::success();
   }
@@ -230,10 +247,16 @@
   return boost::outcome_v2::success();
 }
 
+void repair_core::RequestLeave(member_id voter, absl::Time now) {
+  absl::erase_if(leaving_until_,
+                 [now](const auto& entry) { return now >= entry.second; });
+  leaving_until_[voter] = now + kLeaveRequestLifetime;
+}
+
 std::optional<membership_change> repair_core::NextChange(
     member_id self, const std::vector<raft_member_status>& members,
     absl::Time now) {
-  const member_availability availability(self, members, now);
+  const member_availability availability(self, members, leaving_until_, now);
   if (auto change = FindDemotion(availability, wanted_voters_)) {
     return change;
   }
--- a/src/control/repair_core.h
+++ b/src/control/repair_core.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "base/result.h"
 #include "control/raft_types.h"
@@ -28,6 +29,9 @@
 inline constexpr absl::Duration kMaxPromotionContactAge =
     absl::Milliseconds(200);
 
+/// An announcement of a stop that is not repeated expires after this time.
+inline constexpr absl::Duration kLeaveRequestLifetime = absl::Seconds(1);
+
 /// A join request that is not repeated expires after this time.
 inline constexpr absl::Duration kJoinRequestLifetime = absl::Seconds(10);
 
@@ -66,6 +70,11 @@
                            const std::vector<raft_member_status>& members,
                            absl::Time now);
 
+  /// Records that a voter is about to stop. Until then it counts as
+  /// unavailable, so that a standby takes its place before it is gone. The
+  /// voter repeats the request until it is demoted.
+  void RequestLeave(member_id voter, absl::Time now);
+
   /// Returns the membership change that is due, if any. `members` is the status
   /// of the members as the leader `self` knows it. Must not be called while a
   /// change is uncommitted.
@@ -82,6 +91,8 @@
   size_t wanted_voters_;
   /// In order of arrival; at most kMaxMembers.
   std::vector<join_request> requests_;
+  /// Voters that are about to stop, and until when that holds.
+  absl::flat_hash_map<member_id, absl::Time> leaving_until_;
 };
 
 }  // namespace cardamomroute::control
--- a/src/control/repair_core_test.cc
+++ b/src/control/repair_core_test.cc
@@ -189,6 +189,34 @@
   BOOST_TEST(changes == expected, boost::test_tools::per_element());
 }
 
+/// Guards against a voter that stops in an orderly way and stays a voter until
+/// it was silent for long: one more loss then left no quorum.
+BOOST_AUTO_TEST_CASE(AStandbyTakesThePlaceOfAVoterThatIsAboutToStop) {
+  repair_core repair(3);
+  std::vector<raft_member_status> members = {
+      Status(1, inner::VOTER, {}), Status(2, inner::VOTER, {}),
+      Status(3, inner::VOTER, {}), Status(4, inner::STANDBY, {})};
+  repair.RequestLeave(3, kNow);
+  std::vector<std::string> changes;
+  while (const auto change = repair.NextChange(kLeader, members, kNow)) {
+    changes.push_back(absl::StrCat(std::string(NameOf(change->kind)), " ",
+                                   change->member.id()));
+    members = After(members, *change);
+  }
+  const std::vector<std::string> expected = {"promote 4", "demote 3"};
+  BOOST_TEST(changes == expected, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(AVoterThatIsAboutToStopStaysWhereNobodyReplacesIt) {
+  repair_core repair(3);
+  const std::vector<raft_member_status> members = {
+      Status(1, inner::VOTER, {}), Status(2, inner::VOTER, {}),
+      Status(3, inner::VOTER, {}),
+      Status(4, inner::STANDBY, kMemberContactTimeout)};
+  repair.RequestLeave(3, kNow);
+  BOOST_TEST(!repair.NextChange(kLeader, members, kNow).has_value());
+}
+
 /// Another VM that was given the name of a member by mistake does not displace
 /// it: the member still answers.
 BOOST_AUTO_TEST_CASE(AMemberThatAnswersKeepsItsPlaceWhoeverClaimsItsName) {
