Control says how many voters may be lost

Tests: TheMarginCountsVotersThatMayBeLost, AMarginOfNoneIsReportedRepeatedly (control/repair_core_test); 40 test programs of control, shells, base, directory, operators and platform pass.

--- a/src/base/metric_table.cc
+++ b/src/base/metric_table.cc
@@ -100,6 +100,7 @@
     Counter(kControl, "full_views_sent"),
     Counter(kControl, "leaderships"),
     Counter(kControl, "repairs"),
+    Gauge(kControl, "spare_voters"),
     Latency(kControl, "commit_time"),
     Counter(kControl, "configuration_calls"),
     Counter(kControl, "configurations_refused"),
--- a/src/base/metric_table.h
+++ b/src/base/metric_table.h
@@ -101,6 +101,7 @@
   kFullViewsSent,
   kLeaderships,
   kRepairs,
+  kSpareVoters,
   kCommitTime,
   // Control: configurations of routes.
   kConfigurationCalls,
--- a/src/cardamomroute/control_member.cc
+++ b/src/cardamomroute/control_member.cc
@@ -355,6 +355,8 @@
 void control_member::FollowRole(absl::Time now) {
   if (raft_->Role() != control::raft_role::kLeader) {
     leading_term_ = 0;
+    quorum_watch_.Reset();
+    recorder_->Set(metric::kSpareVoters, 0);
     proposed_.clear();
     batch_index_.reset();
     registry_.StopLeading();
@@ -418,6 +420,7 @@
     return;
   }
   next_repair_ = now + kRepairInterval;
+  ReportMargin(now);
   const auto change =
       repair_.NextChange(self_.id(), raft_->MemberStatuses(), now);
   if (!change) {
@@ -432,6 +435,21 @@
       .With("proposed", index.has_value());
 }
 
+void control_member::ReportMargin(absl::Time now) {
+  const control::quorum_margin margin =
+      repair_.Margin(self_.id(), raft_->MemberStatuses(), now);
+  recorder_->Set(metric::kSpareVoters, margin.spare);
+  if (!quorum_watch_.IsReportDue(margin, now)) {
+    return;
+  }
+  log_line(margin.spare == 0 ? log_level::kWarn : log_level::kInfo,
+           "spare_voters")
+      .With("spare", margin.spare)
+      .With("voters", margin.voters)
+      .With("available", margin.available)
+      .With("members", raft_->Membership().Members().size());
+}
+
 absl::Time control_member::NextDeadline() const {
   // What was committed before the start is in force after the first Advance.
   if (!has_advanced_) {
--- a/src/cardamomroute/control_member.h
+++ b/src/cardamomroute/control_member.h
@@ -21,6 +21,7 @@
 #include "cardamomroute/submission_checker.h"
 #include "control/control_state.h"
 #include "control/member_contacts.h"
+#include "control/quorum_watch.h"
 #include "control/raft_core.h"
 #include "control/registry_core.h"
 #include "control/repair_core.h"
@@ -118,6 +119,7 @@
   void FollowRole(absl::Time now);
   void ProposeBatch(absl::Time now);
   void ProposeRepair(absl::Time now);
+  void ReportMargin(absl::Time now);
   result<uint64_t> Propose(const inner::command& command, absl::Time now);
   /// `command` is an inner::command without a time.
   result<uint64_t> Propose(std::string command, absl::Time now);
@@ -190,6 +192,7 @@
   /// Nodes that pull from this member while it leads.
   child_book children_;
   control::repair_core repair_;
+  control::quorum_watch quorum_watch_;
   /// Handed out by Raft but not yet on the disk, which is full.
   std::optional<control::raft_ready> stalled_;
   absl::flat_hash_map<member_id, std::string> addresses_;
--- a/src/control/repair_core.cc
+++ b/src/control/repair_core.cc
@@ -247,6 +247,18 @@
   return boost::outcome_v2::success();
 }
 
+quorum_margin repair_core::Margin(
+    member_id self, const std::vector<raft_member_status>& members,
+    absl::Time now) const {
+  const member_availability group(self, members, leaving_until_, now);
+  quorum_margin margin;
+  margin.voters = group.Voters();
+  margin.available = group.AvailableVoters();
+  const size_t quorum = margin.voters / 2 + 1;
+  margin.spare = margin.available - std::min(margin.available, quorum);
+  return margin;
+}
+
 void repair_core::RequestLeave(member_id voter, absl::Time now) {
   absl::erase_if(leaving_until_,
                  [now](const auto& entry) { return now >= entry.second; });
--- a/src/control/repair_core.h
+++ b/src/control/repair_core.h
@@ -8,6 +8,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "base/result.h"
+#include "control/quorum_watch.h"
 #include "control/raft_types.h"
 
 namespace cardamomroute::control {
@@ -70,6 +71,11 @@
                            const std::vector<raft_member_status>& members,
                            absl::Time now);
 
+  /// How many voters the group can lose, as the leader `self` knows it.
+  quorum_margin Margin(member_id self,
+                       const std::vector<raft_member_status>& members,
+                       absl::Time now) const;
+
   /// Records that a voter is about to stop. Until then it counts as
   /// unavailable, so that a standby takes its place before it is gone. The
   /// voter repeats the request until it is demoted.
--- a/src/control/repair_core_test.cc
+++ b/src/control/repair_core_test.cc
@@ -231,6 +231,39 @@
   BOOST_TEST(!repair.NextChange(kLeader, members, kNow).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(TheMarginCountsVotersThatMayBeLost) {
+  repair_core repair(5);
+  std::vector<raft_member_status> members;
+  for (member_id id = 1; id <= 5; ++id) {
+    members.push_back(Status(id, inner::VOTER, {}));
+  }
+  members.push_back(Status(6, inner::STANDBY, {}));
+  const auto spare = [&] {
+    return repair.Margin(kLeader, members, kNow).spare;
+  };
+  BOOST_TEST(spare() == 2U);
+  members[1].last_contact = kNow - kMemberContactTimeout;
+  BOOST_TEST(spare() == 1U);
+  repair.RequestLeave(3, kNow);
+  BOOST_TEST(spare() == 0U);
+  members[3].last_contact = kNow - kMemberContactTimeout;
+  BOOST_TEST(spare() == 0U);
+}
+
+/// A margin is reported when it changes, and again while there is none.
+BOOST_AUTO_TEST_CASE(AMarginOfNoneIsReportedRepeatedly) {
+  quorum_watch watch;
+  BOOST_TEST(watch.IsReportDue({3, 3, 1}, kNow));
+  BOOST_TEST(!watch.IsReportDue({3, 3, 1}, kNow + absl::Hours(1)));
+  BOOST_TEST(watch.IsReportDue({3, 2, 0}, kNow));
+  const absl::Time again = kNow + kNoSpareReportInterval;
+  BOOST_TEST(!watch.IsReportDue({3, 2, 0}, again - absl::Milliseconds(1)));
+  BOOST_TEST(watch.IsReportDue({3, 2, 0}, again));
+  BOOST_TEST(!watch.IsReportDue({3, 2, 0}, again));
+  watch.Reset();
+  BOOST_TEST(watch.IsReportDue({3, 2, 0}, again));
+}
+
 BOOST_AUTO_TEST_CASE(JoinsWithANameInUseOrToAFullGroupAreRejected) {
   repair_core repair(3);
   std::vector<raft_member_status> members;
