--- a/review/8/case.py
+++ b/review/8/case.py
@@ -32,12 +32,12 @@
         raise standins.CannotRun("the draining heartbeat was not acknowledged")
     time.sleep(standins.DRAIN_S + 0.5)
     before.pause_beats()
+    late = standins.DelayedCall(site, before) if trouble else None
     cut_at = time.monotonic()
-    late = None
     if trouble:
         # The cut holds the call up: no acknowledgement, so the target exits some seconds later.
         record.note("cut", target=before.name)
-        late = standins.DelayedCall(site, before, "deregister")
+        late.send("deregister")
         time.sleep(2.0)
     else:
         before.send("deregister")
--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -487,25 +487,29 @@
 
 
 class DelayedCall:
-    """A call of a target that the network holds up until it is delivered, also after its sender has ended."""
+    """A call on a connection that a target has open, held up by the network until it is delivered.
 
-    def __init__(self, site, target, what):
-        self.site, self.what, self.name = site, what, target.name
-        self.agent = target.side.at("control")
-        self.request = (f"POST /targets/{target.name}/{what} HTTP/1.1\r\nHost: {self.agent[0]}\r\n"
-                        "Content-Length: 0\r\n\r\n").encode()
-        site.record.note("sent", target=self.name, call=what)
+    It arrives also after its sender has ended: the kernel goes on sending what was written.
+    """
+
+    def __init__(self, site, target):
+        self.site, self.name = site, target.name
+        self.connection = socket.create_connection(target.side.at("control"), timeout=1.0)
+        self.request = b""
+        site.closers.append(self.connection.close)
+
+    def send(self, what):
+        self.request = f"POST /targets/{self.name}/{what} HTTP/1.1\r\nHost: node\r\nContent-Length: 0\r\n\r\n".encode()
+        self.site.record.note("sent", target=self.name, call=what)
 
     def deliver(self):
-        with socket.create_connection(self.agent, timeout=1.0) as connection:
-            connection.sendall(self.request)
-            connection.shutdown(socket.SHUT_WR)
-            connection.settimeout(1.0)
-            try:
-                status = connection.recv(64).split(b" ")[1].decode()
-            except (OSError, IndexError):
-                status = None
-        self.site.record.note("delivered", target=self.name, call=self.what, status=status)
+        self.connection.sendall(self.request)
+        self.connection.shutdown(socket.SHUT_WR)
+        try:
+            status = self.connection.recv(64).split(b" ")[1].decode()
+        except (OSError, IndexError):
+            status = None
+        self.site.record.note("delivered", target=self.name, request=self.request.split(b" ")[1].decode(), status=status)
 
 
 class Flow:
