--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -30,6 +30,7 @@
 # The bounds of the small deployments.
 CONTACT_WINDOW_S = 4.0
 DRAIN_S = 3.0
+CONFIG_APPLY_S = 3.0
 
 # In seconds; a script may run for 120.
 LONGEST_RUN_S = 115
@@ -313,10 +314,14 @@
 class Target:
     """One target beside a side node: packets, health check and heartbeats."""
 
-    def __init__(self, site, side, name, born_ms=None, beats=True):
+    def __init__(self, site, side, name, slots=5, work_s=0.0, born_ms=None, beats=True):
         self.site, self.side, self.name = site, side, name
         self.record = site.record
         self.born_ms = born_ms if born_ms is not None else int(time.time() * 1000)
+        self.slots = threading.Semaphore(slots)
+        self.slot_count = slots
+        self.work_s = work_s
+        self.openings = []
         self.sequence = 0
         self.state = "ready"
         self.flows = {}
@@ -353,7 +358,7 @@
     def beat(self, **changes):
         self.sequence += 1
         body = {"service": self.side.extra["service"], "address": self.side.address("app"), "zone": "z1",
-                "version": "v1", "slots": 5, "state": self.state, "warmup_remaining_ms": 0,
+                "version": "v1", "slots": self.slot_count, "state": self.state, "warmup_remaining_ms": 0,
                 "sequence": self.sequence, "born": self.born_ms}
         body.update(changes)
         return self.send("heartbeat", body)
@@ -437,8 +442,9 @@
                 flow = {"own": random.randrange(1 << 31), "next": packet.seq + 1, "open": False, "ended": False,
                         "input": b"", "came": time.monotonic()}
                 self.flows[key] = flow
+                self.openings.append((packet.src, packet.dst[1], packet.ack, time.monotonic()))
                 self.record.note("opening", target=self.name, flow=f"{packet.src[0]}:{packet.src[1]}",
-                                 route=packet.dst[1])
+                                 route=packet.dst[1], copy=packet.ack)
             if not flow["open"]:
                 self._out(Packet(packet.dst, packet.src, SYN | ACK, flow["own"], packet.seq + 1).signed())
             return
@@ -463,17 +469,30 @@
             self._answer(key, flow, b"", ACK | FIN)
 
     def _run_requests(self, key, flow):
-        answer = b""
         while b"\r\n\r\n" in flow["input"]:
             head, flow["input"] = flow["input"].split(b"\r\n\r\n", 1)
             request = head.decode().split("Request-Id: ")[1].split("\r\n")[0]
-            self.runs.append((request, time.monotonic()))
-            self.record.note("run", target=self.name, request=request)
-            body = f"{request} by {self.name}".encode()
-            answer += (f"HTTP/1.1 200 OK\r\nServer-Stamp: {self.name}\r\n"
-                       f"Content-Length: {len(body)}\r\n\r\n").encode() + body
-        flow["last"] = answer
-        self._answer(key, flow, answer)
+            if self.work_s > 0:
+                flow["last"] = b""
+                threading.Thread(target=self._work, args=(key, flow, request), daemon=True).start()
+                self._answer(key, flow, b"")
+            else:
+                self._run(key, flow, request)
+
+    def _work(self, key, flow, request):
+        with self.slots:
+            self.record.note("begun", target=self.name, request=request)
+            time.sleep(self.work_s)
+        with self.lock:
+            self._run(key, flow, request)
+
+    def _run(self, key, flow, request):
+        self.runs.append((request, time.monotonic()))
+        self.record.note("run", target=self.name, request=request)
+        body = f"{request} by {self.name}".encode()
+        flow["last"] = (f"HTTP/1.1 200 OK\r\nServer-Stamp: {self.name}\r\n"
+                        f"Content-Length: {len(body)}\r\n\r\n").encode() + body
+        self._answer(key, flow, flow["last"])
 
     def _answer(self, key, flow, data, flags=ACK):
         (src, dst) = key
@@ -521,6 +540,7 @@
         self.was_reset = False
         self.reset_is_systems = False
         self.input = b""
+        self.sent_at = {}
         self.changed = threading.Condition()
 
 
@@ -588,6 +608,7 @@
                 flow.changed.wait_for(lambda: flow.is_open or flow.was_reset, max(0.0, begun + due - time.monotonic()))
                 if flow.is_open or flow.was_reset:
                     break
+                flow.sent_at[copy] = time.monotonic()
                 self._send(flow, SYN, b"", copy)
             flow.changed.wait_for(lambda: flow.is_open or flow.was_reset, max(0.0, begun + 1.4 - time.monotonic()))
         self.record.note("open", flow=f"{self.ip}:{flow.port}", route=route,
