Review: a balancer with older routes resets a flow that another one has opened (case 8)

A route is dropped and comes back; a balancer that has the newer version opens a flow and leaves the rotation. The next balancer has not asked for that version yet and resets the flow, while its upstream lives.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
