--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -18,6 +18,7 @@
 import tempfile
 import threading
 import time
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 PROGRAM = "target/bin/cardamomroute"
@@ -666,6 +667,10 @@
     except CannotRun as reason:
         record.note("cannot_run", reason=reason)
         return 2
+    except Exception:
+        # An error of the stand-ins says nothing about the rule.
+        record.note("cannot_run", reason=repr(traceback.format_exc()))
+        return 2
     record.note("end", rule="held" if held else "broken")
     print("rule held" if held else "rule broken")
     return 0 if held else 1
