--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,5 +1,6 @@
 """A balancer that still has the version without a route resets a flow that another one opened by the next version."""
 import pathlib
+import signal
 import sys
 import threading
 import time
@@ -61,7 +62,7 @@
 def play_round(site, record, trouble, version, lead_s, router, clients, target):
     front = site.fronts[0]
     if trouble:
-        front.send_signal(standins.signal.SIGTERM)
+        front.send_signal(signal.SIGTERM)
         time.sleep(0.02)
     missed = 0 if site.is_ready(front) else 1
     out_at = time.monotonic() + PROBE_S
--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -26,7 +26,6 @@
 
 SYN, ACK, FIN, RST, BOUNCED = 128, 4, 8, 2, 64
 HEAD = struct.Struct("<HIBBIHIHIII")
-MOST_DATA = 1200
 
 # The bounds of the small deployments.
 CONTACT_WINDOW_S = 4.0
@@ -178,10 +177,6 @@
         self.send_signal(signal.SIGKILL)
         self.wait()
 
-    def lose_disk(self):
-        shutil.rmtree(self.disk())
-        self.site.record.note("disk_lost", node=self.name)
-
     def is_alive(self):
         return self.process is not None and self.process.poll() is None
 
@@ -622,7 +617,7 @@
 
     def request(self, flow, request, deadline_s=2.5):
         """'answered', 'reset' or 'silence'."""
-        data = f"POST /work HTTP/1.1\r\nHost: x\r\nRequest-Id: {request}\r\n\r\n".encode()
+        data = f"POST /offers HTTP/1.1\r\nHost: x\r\nRequest-Id: {request}\r\n\r\n".encode()
         deadline = time.monotonic() + deadline_s
         pause = 0.2
         self.record.note("request", request=request, flow=f"{self.ip}:{flow.port}")
