--- a/review/6/case.py
+++ b/review/6/case.py
@@ -66,4 +66,4 @@
     return not (outcome == "reset" and flow.reset_is_systems and not after.is_over)
 
 
-sys.exit(standins.run_case(__file__, case))
+sys.exit(standins.run_case(__file__, case, trouble=sys.argv[1:] != ["0"]))
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -94,4 +94,4 @@
         number += 1
 
 
-sys.exit(standins.run_case(__file__, case))
+sys.exit(standins.run_case(__file__, case, trouble=sys.argv[1:] != ["0"]))
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -107,4 +107,4 @@
         lost.append(flow)
 
 
-sys.exit(standins.run_case(__file__, case))
+sys.exit(standins.run_case(__file__, case, trouble=sys.argv[1:] != ["0"]))
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,2 +1,3 @@
 #!/bin/sh
-exec python3 "$(dirname "$0")/case.py"
+# TROUBLE=0 does the same without the disruption.
+exec python3 "$(dirname "$0")/case.py" "${TROUBLE:-1}"
--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -646,10 +646,9 @@
     raise CannotRun("the case took too long")
 
 
-def run_case(script, case):
+def run_case(script, case, trouble):
     """Runs case(record, trouble), which returns True where the rule held."""
     record = Record(pathlib.Path(script).resolve().parent / "record.txt")
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     record.note("begin", trouble=int(trouble))
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     signal.signal(signal.SIGALRM, lambda *_: give_up())
